--- a/admission/api.go
+++ b/admission/api.go
@@ -128,6 +128,17 @@
 	Removed
 )
 
+// String names the state as the logs do.
+func (s State) String() string {
+	switch s {
+	case Ready:
+		return "ready"
+	case Draining:
+		return "draining"
+	}
+	return "gone"
+}
+
 // Engine is one entry of the engine list.
 type Engine struct {
 	ID               uint32
--- a/admission/example_test.go
+++ b/admission/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"tealwheel/admission"
+	"beechcart/admission"
 )
 
 // A gateway tells the controller what happened and carries out what it answers.
--- /dev/null
+++ b/cmd/beechcart-sim/main.go
@@ -0,0 +1,16 @@
+// Command beechcart-sim puts the controller on the bench's wire.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"beechcart/internal/wire"
+)
+
+func main() {
+	if err := wire.Serve(os.Stdin, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "beechcart-sim:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/exchange/exchange.go
@@ -0,0 +1,76 @@
+// Package exchange holds the one object in which client side and server side meet: a request, from the moment
+// it is taken to its one final answer.
+package exchange
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// Request is what a client asked for, in the terms of the settings.
+type Request struct {
+	ID        string
+	ClassName string
+	Class     int // place in the settings
+	Tenant    int // -1: not known
+	Left      time.Duration
+	Work      time.Duration // estimate; 0: none
+	MemMB     float64       // estimate; 0: none
+	Group     int           // group of tables; -1: none
+	Statement []byte        // owned by the exchange
+}
+
+// Kind is how a request ended.
+type Kind int
+
+// The kinds of final answer.
+const (
+	Served  Kind = iota
+	Refused      // a repeat is harmless
+	Failed       // nothing is promised
+	Left         // the client went first: nothing is owed
+)
+
+// Answer is the final answer of a request.
+type Answer struct {
+	Kind   Kind
+	Rows   []byte        // Served: rows as text, columns parted by tabs, each row ended by a line feed
+	Pause  time.Duration // Refused: when to come back; 0: no advice
+	Reason string        // Refused, Failed: for people
+}
+
+// Exchange carries one request to its one final answer, whoever settles it first.
+type Exchange struct {
+	Request
+	Arrived time.Time // carries the monotonic clock
+	settled atomic.Bool
+	answer  Answer
+	done    chan struct{}
+}
+
+// New takes a request that arrived at that time.
+func New(r Request, arrived time.Time) *Exchange {
+	return &Exchange{Request: r, Arrived: arrived, done: make(chan struct{})}
+}
+
+// Settle gives the final answer; false when there was one before.
+func (x *Exchange) Settle(a Answer) bool {
+	if !x.settled.CompareAndSwap(false, true) {
+		return false
+	}
+	x.answer = a
+	close(x.done)
+	return true
+}
+
+// Settled tells whether the final answer was given.
+func (x *Exchange) Settled() bool { return x.settled.Load() }
+
+// Done is closed once the final answer is there.
+func (x *Exchange) Done() <-chan struct{} { return x.done }
+
+// Answer returns the final answer; only after Done.
+func (x *Exchange) Answer() Answer { return x.answer }
+
+// Deadline is when the client stops waiting.
+func (x *Exchange) Deadline() time.Time { return x.Arrived.Add(x.Left) }
--- /dev/null
+++ b/internal/invariant/debug_on.go
@@ -0,0 +1,5 @@
+//go:build debug
+
+package invariant
+
+const debug = true
--- /dev/null
+++ b/internal/mysql/server.go
@@ -0,0 +1,347 @@
+// Package mysql is the client side: the MySQL client protocol 4.1 with text results, as far as gateways of the
+// platform use it. It knows nothing of engines, and decides nothing.
+package mysql
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"log/slog"
+	"regexp"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+
+	"beechcart/internal/exchange"
+	"beechcart/internal/invariant"
+	"beechcart/internal/settings"
+)
+
+// Taker takes requests; their exchanges bring the final answers.
+type Taker interface {
+	Take(x *exchange.Exchange)
+	Leave(x *exchange.Exchange)
+}
+
+// Options are what the client side is built with.
+type Options struct {
+	Names    settings.Names
+	Sessions int // most sessions at once
+	Counters *invariant.Counters
+	Log      *slog.Logger
+}
+
+// The bounds of a session.
+const (
+	maxPacket   = 1 << 20
+	packetWait  = 5 * time.Second // for the rest of a packet that has begun
+	writeWait   = 5 * time.Second
+	sessionIdle = 10 * time.Second // clients close after 4 s; only a silent peer stays longer
+	sweepEvery  = time.Second
+	malformedIn = 5 * time.Second // one line of malformed input in so long
+)
+
+// Server serves sessions on one listener.
+type Server struct {
+	opt   Options
+	taker Taker
+	loop  netpoll.EventLoop
+	ids   atomic.Uint32
+
+	mu       sync.Mutex
+	sessions map[uint32]*session
+	told     time.Time // when malformed input was last logged
+}
+
+// session is one connection of a client.
+type session struct {
+	srv    *Server
+	id     uint32
+	conn   netpoll.Connection
+	seq    byte
+	logged bool
+
+	mu   sync.Mutex
+	open *exchange.Exchange // the request in hand
+	busy bool
+	last time.Time
+}
+
+type sessionKey struct{}
+
+// New returns a server that hands requests to taker.
+func New(opt Options, taker Taker) (*Server, error) {
+	s := &Server{opt: opt, taker: taker, sessions: map[uint32]*session{}}
+	loop, err := netpoll.NewEventLoop(s.request, netpoll.WithOnConnect(s.connect), netpoll.WithOnDisconnect(s.disconnect),
+		netpoll.WithReadTimeout(packetWait), netpoll.WithWriteTimeout(writeWait))
+	if err != nil {
+		return nil, fmt.Errorf("mysql: %w", err)
+	}
+	s.loop = loop
+	return s, nil
+}
+
+// Serve accepts sessions at the address until Shutdown.
+func (s *Server) Serve(addr string) error {
+	l, err := netpoll.CreateListener("tcp", addr)
+	if err != nil {
+		return fmt.Errorf("mysql: %w", err)
+	}
+	s.opt.Log.Info("listening", "address", l.Addr().String())
+	stop := make(chan struct{})
+	defer close(stop)
+	go s.sweep(stop)
+	return s.loop.Serve(l)
+}
+
+// Shutdown closes the listener and then each session as soon as nothing is open on it.
+func (s *Server) Shutdown(ctx context.Context) error { return s.loop.Shutdown(ctx) }
+
+func (s *Server) connect(ctx context.Context, c netpoll.Connection) context.Context {
+	ses := &session{srv: s, id: s.ids.Add(1), conn: c, last: time.Now()}
+	s.mu.Lock()
+	full := len(s.sessions) >= s.opt.Sessions
+	if !full {
+		s.sessions[ses.id] = ses
+	}
+	s.mu.Unlock()
+	if full {
+		s.opt.Counters.Add("sessions_refused", 1)
+		seq := byte(0)
+		_ = ses.write(appendError(nil, &seq, codeRefused, "08004", "Too many connections"))
+		_ = c.Close()
+		return ctx
+	}
+	if ses.write(appendGreeting(nil, ses.id)) != nil {
+		_ = c.Close()
+	}
+	return context.WithValue(ctx, sessionKey{}, ses)
+}
+
+// disconnect is called at once when the peer has closed, also while a request is in hand.
+func (s *Server) disconnect(ctx context.Context, _ netpoll.Connection) {
+	ses, _ := ctx.Value(sessionKey{}).(*session)
+	if ses == nil {
+		return
+	}
+	s.mu.Lock()
+	delete(s.sessions, ses.id)
+	s.mu.Unlock()
+	ses.abandon()
+}
+
+// request reads what a session has sent; it is called for one packet at a time.
+func (s *Server) request(ctx context.Context, c netpoll.Connection) error {
+	ses, _ := ctx.Value(sessionKey{}).(*session)
+	if ses == nil {
+		return c.Close()
+	}
+	ses.setBusy(true)
+	ok := ses.packet()
+	ses.setBusy(false)
+	if !ok {
+		s.mu.Lock()
+		delete(s.sessions, ses.id)
+		s.mu.Unlock()
+		return c.Close()
+	}
+	return nil
+}
+
+// sweep closes sessions that have been idle for longer than any client keeps one: a client that was cut off
+// says nothing, and would hold its descriptor for good.
+func (s *Server) sweep(stop <-chan struct{}) {
+	tick := time.NewTicker(sweepEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-stop:
+			return
+		case <-tick.C:
+		}
+		s.mu.Lock()
+		var old []*session
+		for id, ses := range s.sessions {
+			ses.mu.Lock()
+			if !ses.busy && time.Since(ses.last) > sessionIdle {
+				old = append(old, ses)
+				delete(s.sessions, id)
+			}
+			ses.mu.Unlock()
+		}
+		s.mu.Unlock()
+		for _, ses := range old {
+			s.opt.Counters.Add("sessions_swept", 1)
+			_ = ses.conn.Close()
+		}
+	}
+}
+
+// malformed counts input that can't be used, and logs some of it.
+func (s *Server) malformed(ses *session, why string) {
+	s.opt.Counters.Add("malformed", 1)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if time.Since(s.told) < malformedIn {
+		return
+	}
+	s.told = time.Now()
+	s.opt.Log.Warn("malformed input", "peer", ses.conn.RemoteAddr().String(), "why", why)
+}
+
+// kill ends the request in hand of the session with that id; false when there is no such session.
+func (s *Server) kill(id uint32) bool {
+	s.mu.Lock()
+	ses := s.sessions[id]
+	s.mu.Unlock()
+	if ses == nil {
+		return false
+	}
+	s.opt.Counters.Add("kills", 1)
+	ses.abandon()
+	return true
+}
+
+// abandon lets the request in hand go: nobody waits for it.
+func (s *session) abandon() {
+	s.mu.Lock()
+	x := s.open
+	s.mu.Unlock()
+	if x != nil {
+		s.srv.taker.Leave(x)
+	}
+}
+
+func (s *session) setBusy(busy bool) {
+	s.mu.Lock()
+	s.busy, s.last = busy, time.Now()
+	s.mu.Unlock()
+}
+
+func (s *session) write(b []byte) error {
+	if _, err := s.conn.Writer().WriteBinary(b); err != nil {
+		return err
+	}
+	return s.conn.Writer().Flush()
+}
+
+// packet serves one packet; false ends the session.
+func (s *session) packet() bool {
+	r := s.conn.Reader()
+	head, err := r.Next(4)
+	if err != nil {
+		return false
+	}
+	size := int(head[0]) | int(head[1])<<8 | int(head[2])<<16
+	s.seq = head[3] + 1
+	if size > maxPacket || size == 0 {
+		s.srv.malformed(s, fmt.Sprintf("packet of %d bytes", size))
+		return s.fail(codeTooLarge, "08S01", "packet size is out of bounds") && false
+	}
+	p, err := r.Next(size)
+	if err != nil {
+		return false
+	}
+	ok := s.serve(p)
+	_ = r.Release()
+	return ok
+}
+
+func (s *session) fail(code int, state, message string) bool {
+	return s.write(appendError(nil, &s.seq, code, state, message)) == nil
+}
+
+func (s *session) ok() bool { return s.write(appendOK(nil, &s.seq)) == nil }
+
+func (s *session) serve(p []byte) bool {
+	if !s.logged {
+		return s.login(p)
+	}
+	switch p[0] {
+	case comQuit:
+		return false
+	case comPing:
+		return s.ok()
+	case comInitDB:
+		if string(p[1:]) != database {
+			return s.fail(codeUnknownDB, "42000", "Unknown database")
+		}
+		return s.ok()
+	case comQuery:
+		return s.query(p[1:])
+	}
+	s.srv.malformed(s, fmt.Sprintf("command %d", p[0]))
+	return s.fail(codeUnknownCom, "08S01", "Unknown command")
+}
+
+func (s *session) login(p []byte) bool {
+	l, err := parseLogin(p)
+	if err != nil {
+		s.srv.malformed(s, err.Error())
+		return s.fail(codeBadHandshake, "08S01", "Bad handshake") && false
+	}
+	if string(l.user) != user || len(l.auth) > 0 {
+		s.srv.malformed(s, "login denied")
+		return s.fail(codeDenied, "28000", "Access denied") && false
+	}
+	if len(l.db) > 0 && string(l.db) != database {
+		return s.fail(codeUnknownDB, "42000", "Unknown database") && false
+	}
+	s.logged = true
+	return s.ok()
+}
+
+var killQuery = regexp.MustCompile(`(?i)^\s*KILL\s+(?:QUERY\s+)?(\d+)\s*;?\s*$`)
+
+// query serves one COM_QUERY: the answer is written here, by the session's own goroutine.
+func (s *session) query(q []byte) bool {
+	arrived := time.Now()
+	if m := killQuery.FindSubmatch(q); m != nil {
+		id, err := strconv.ParseUint(string(m[1]), 10, 32)
+		if err != nil || !s.srv.kill(uint32(id)) {
+			return s.fail(codeUnknownThread, "HY000", "Unknown thread id")
+		}
+		return s.ok()
+	}
+	req, err := parseQuery(q, s.srv.opt.Names)
+	if err != nil {
+		s.srv.malformed(s, err.Error())
+		return s.fail(codeParse, "42000", err.Error())
+	}
+	x := exchange.New(req, arrived)
+	s.mu.Lock()
+	s.open = x
+	s.mu.Unlock()
+	s.srv.taker.Take(x)
+	if !s.conn.IsActive() { // it closed before the request was in hand
+		s.srv.taker.Leave(x)
+	}
+	<-x.Done()
+	s.mu.Lock()
+	s.open = nil
+	s.mu.Unlock()
+	return s.answer(x.Answer())
+}
+
+func (s *session) answer(a exchange.Answer) bool {
+	switch a.Kind {
+	case exchange.Served:
+		size := 256 + len(a.Rows) + bytes.Count(a.Rows, []byte{'\n'})*(4+columns)
+		b, err := appendResult(make([]byte, 0, size), &s.seq, a.Rows)
+		if !s.srv.opt.Counters.Hold(err == nil, "result_malformed") {
+			return s.fail(codeFailed, "HY000", "the result was malformed")
+		}
+		return s.write(b) == nil
+	case exchange.Refused:
+		if a.Pause > 0 {
+			a.Reason += fmt.Sprintf("; retry after %d ms", a.Pause.Milliseconds())
+		}
+		return s.fail(codeRefused, "08004", a.Reason)
+	case exchange.Failed:
+		return s.fail(codeFailed, "HY000", a.Reason)
+	}
+	return s.fail(codeInterrupted, "70100", "Query execution was interrupted")
+}
--- /dev/null
+++ b/internal/mysql/statement.go
@@ -0,0 +1,210 @@
+package mysql
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"math"
+	"strconv"
+	"time"
+
+	"beechcart/internal/exchange"
+	"beechcart/internal/settings"
+)
+
+// parseQuery reads the comment of fields ahead of a statement. What it returns owns its memory: a request
+// outlives the buffer that it came in.
+func parseQuery(q []byte, names settings.Names) (r exchange.Request, err error) {
+	q = bytes.TrimSpace(q)
+	if !bytes.HasPrefix(q, []byte("/*")) {
+		return r, errors.New("the comment with the fields of the request is missing")
+	}
+	end := bytes.Index(q, []byte("*/"))
+	if end < 2 {
+		return r, errors.New("the comment with the fields of the request does not end")
+	}
+	fields, text := q[2:end], bytes.TrimLeft(q[end+2:], " \t\r\n")
+	r.Class, r.Tenant, r.Group = -1, -1, -1
+	for len(fields) > 0 {
+		var field []byte
+		field, fields, _ = bytes.Cut(fields, []byte(","))
+		name, value, ok := bytes.Cut(bytes.TrimSpace(field), []byte("="))
+		if !ok {
+			return r, fmt.Errorf("field %.40q is not name=value", field)
+		}
+		if err := setField(&r, string(name), value, names); err != nil {
+			return r, err
+		}
+	}
+	switch {
+	case r.ID == "":
+		return r, errors.New("field i is missing")
+	case r.Class < 0:
+		return r, errors.New("field c is missing")
+	case r.Left <= 0:
+		return r, errors.New("field d is missing")
+	case len(text) == 0:
+		return r, errors.New("there is no statement")
+	}
+	r.Statement = bytes.Clone(text)
+	r.Group = tableGroup(text)
+	return r, nil
+}
+
+func setField(r *exchange.Request, name string, value []byte, names settings.Names) error {
+	bad := func() error { return fmt.Errorf("field %s: %.40q can't be used", name, value) }
+	number := func(most float64) (float64, bool) {
+		f, err := strconv.ParseFloat(string(value), 64)
+		return f, err == nil && !math.IsNaN(f) && f >= 0 && f <= most
+	}
+	switch name {
+	case "c":
+		r.ClassName = string(value)
+		if r.Class = settings.Find(names.Classes, r.ClassName); r.Class < 0 {
+			return bad()
+		}
+	case "i":
+		if len(value) != 16 {
+			return bad()
+		}
+		for _, c := range value {
+			if (c < '0' || c > '9') && (c < 'a' || c > 'f') && (c < 'A' || c > 'F') {
+				return bad()
+			}
+		}
+		r.ID = string(value)
+	case "d":
+		f, ok := number(24 * 3600 * 1000)
+		if !ok || f == 0 {
+			return bad()
+		}
+		r.Left = time.Duration(f * float64(time.Millisecond))
+	case "t":
+		r.Tenant = settings.Find(names.Tenants, string(value))
+	case "h":
+		f, ok := number(1e9)
+		if !ok {
+			return bad()
+		}
+		r.Work = time.Duration(f * float64(time.Millisecond))
+	case "need_mb":
+		f, ok := number(1e9)
+		if !ok {
+			return bad()
+		}
+		r.MemMB = f
+	}
+	return nil // what is not known is passed over
+}
+
+// tableGroup finds the number behind the underscore in the schema that a statement reads or writes; -1 when it
+// names none. Strings, comments and the schema staging do not count. A schema behind FROM, JOIN, INTO, UPDATE
+// or TABLE comes before one that only qualifies a column.
+func tableGroup(q []byte) int {
+	first := -1
+	for i := 0; i < len(q); {
+		switch c := q[i]; {
+		case c == '\'' || c == '"':
+			i = skipString(q, i)
+		case c == '#' || (c == '-' && i+2 < len(q) && q[i+1] == '-' && (q[i+2] == ' ' || q[i+2] == '\t' || q[i+2] == '\n')):
+			if n := bytes.IndexByte(q[i:], '\n'); n >= 0 {
+				i += n + 1
+			} else {
+				i = len(q)
+			}
+		case c == '/' && i+1 < len(q) && q[i+1] == '*':
+			if n := bytes.Index(q[i+2:], []byte("*/")); n >= 0 {
+				i += n + 4
+			} else {
+				i = len(q)
+			}
+		case c == '`' || isWord(c):
+			word, end := name(q, i)
+			next := skipSpace(q, end)
+			if next >= len(q) || q[next] != '.' {
+				i = end
+				continue
+			}
+			if n := groupOf(word); n >= 0 {
+				if behindKeyword(q[:i]) {
+					return n
+				}
+				if first < 0 {
+					first = n
+				}
+			}
+			_, i = name(q, skipSpace(q, next+1)) // the table's own name is no schema
+		default:
+			i++
+		}
+	}
+	return first
+}
+
+func skipString(q []byte, i int) int {
+	for quote, j := q[i], i+1; j < len(q); j++ {
+		switch {
+		case q[j] == '\\':
+			j++
+		case q[j] == quote && j+1 < len(q) && q[j+1] == quote:
+			j++
+		case q[j] == quote:
+			return j + 1
+		}
+	}
+	return len(q)
+}
+
+// name reads an identifier, quoted or not, and tells where it ends.
+func name(q []byte, i int) ([]byte, int) {
+	if i < len(q) && q[i] == '`' {
+		n := bytes.IndexByte(q[i+1:], '`')
+		if n < 0 {
+			return nil, len(q)
+		}
+		return q[i+1 : i+1+n], i + n + 2
+	}
+	end := i
+	for end < len(q) && isWord(q[end]) {
+		end++
+	}
+	return q[i:end], end
+}
+
+func skipSpace(q []byte, i int) int {
+	for i < len(q) && (q[i] == ' ' || q[i] == '\t' || q[i] == '\r' || q[i] == '\n') {
+		i++
+	}
+	return i
+}
+
+func isWord(c byte) bool {
+	return c == '_' || c == '$' || c >= 0x80 || (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z')
+}
+
+func behindKeyword(q []byte) bool {
+	q = bytes.TrimRight(q, " \t\r\n")
+	start := len(q)
+	for start > 0 && isWord(q[start-1]) {
+		start--
+	}
+	for _, k := range []string{"FROM", "JOIN", "INTO", "UPDATE", "TABLE"} {
+		if bytes.EqualFold(q[start:], []byte(k)) {
+			return true
+		}
+	}
+	return false
+}
+
+// groupOf is the number at the end of a schema's name; -1 when it has none, or is staging.
+func groupOf(schema []byte) int {
+	at := bytes.LastIndexByte(schema, '_')
+	if at < 0 || bytes.EqualFold(schema[:at], []byte("staging")) {
+		return -1
+	}
+	n, err := strconv.ParseUint(string(schema[at+1:]), 10, 31)
+	if err != nil {
+		return -1
+	}
+	return int(n)
+}
--- /dev/null
+++ b/internal/planner/planner.go
@@ -0,0 +1,313 @@
+// Package planner runs the controller: one goroutine owns it, takes what has come in as one batch, and carries
+// out what the controller answers. Every decision is the controller's.
+package planner
+
+import (
+	"log/slog"
+	"sync"
+	"time"
+
+	"beechcart/admission"
+	"beechcart/internal/exchange"
+	"beechcart/internal/invariant"
+	"beechcart/internal/roster"
+)
+
+// Engines is the server side, as the planner needs it.
+type Engines interface {
+	Update(l roster.List)
+	Start(x *exchange.Exchange, n int, engine uint32, priority int, limit time.Duration)
+	Cancel(id string, n int)
+	Probe(engine uint32)
+	CloseIdle(engine uint32)
+}
+
+// answerMargin is how long before the client stops waiting the final answer goes out at the latest.
+const answerMargin = 15 * time.Millisecond
+
+// kind says what an input is.
+type kind int
+
+const (
+	told     kind = iota // an event for the controller as it is
+	taken                // a request
+	left                 // its client has gone
+	deadline             // its client is about to
+	ended                // an attempt has
+	listed               // the engine list has changed
+)
+
+type input struct {
+	kind kind
+	ev   admission.Event
+	x    *exchange.Exchange
+	rows []byte
+	list roster.List
+}
+
+// entry is a request that the controller knows.
+type entry struct {
+	x        *exchange.Exchange
+	tries    int
+	out      int
+	priority int
+	mayRun   bool // an attempt may have run
+	timer    *time.Timer
+}
+
+// Planner feeds one controller.
+type Planner struct {
+	ctl      *admission.Controller
+	classes  []admission.Class
+	engines  Engines
+	counters *invariant.Counters
+	log      *slog.Logger
+	start    time.Time     // with the monotonic clock
+	base     time.Duration // the Unix time of start: the clock of since_ms
+
+	mu    sync.Mutex
+	queue []input
+	wake  chan struct{}
+
+	// Owned by Run.
+	open  map[string]*entry
+	batch []admission.Event
+}
+
+// New returns a planner for a controller with those classes.
+func New(ctl *admission.Controller, classes []admission.Class, counters *invariant.Counters, log *slog.Logger) *Planner {
+	now := time.Now()
+	return &Planner{
+		ctl: ctl, classes: classes, counters: counters, log: log, start: now,
+		base: time.Duration(now.UnixNano()), wake: make(chan struct{}, 1), open: map[string]*entry{},
+	}
+}
+
+// clock is the controller's time: comparable with the change log's Unix times, and monotonic.
+func (p *Planner) clock() time.Duration { return p.base + time.Since(p.start) }
+
+func (p *Planner) post(in input) {
+	p.mu.Lock()
+	p.queue = append(p.queue, in)
+	p.mu.Unlock()
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Take accepts a request; its exchange brings the final answer.
+func (p *Planner) Take(x *exchange.Exchange) { p.post(input{kind: taken, x: x}) }
+
+// Leave tells that the client of a request has gone.
+func (p *Planner) Leave(x *exchange.Exchange) {
+	if x.Settle(exchange.Answer{Kind: exchange.Left}) {
+		p.post(input{kind: left, x: x})
+	}
+}
+
+// Ended tells how an attempt ended.
+func (p *Planner) Ended(x *exchange.Exchange, o admission.Outcome, rows []byte) {
+	p.post(input{kind: ended, x: x, ev: o, rows: rows})
+}
+
+// Told brings notes and the results of probes.
+func (p *Planner) Told(ev admission.Event) { p.post(input{kind: told, ev: ev}) }
+
+// Members brings an event of the engine list.
+func (p *Planner) Members(l roster.List) { p.post(input{kind: listed, list: l}) }
+
+// Run serves until stop is closed.
+func (p *Planner) Run(engines Engines, stop <-chan struct{}) {
+	p.engines = engines
+	p.step(nil)
+	var spare []input
+	for {
+		select {
+		case <-stop:
+			return
+		case <-p.wake:
+		}
+		p.mu.Lock()
+		in := p.queue
+		p.queue = spare[:0]
+		p.mu.Unlock()
+		p.step(in)
+		clear(in)
+		spare = in
+	}
+}
+
+// step hands one batch to the controller and carries its actions out, in order.
+func (p *Planner) step(in []input) {
+	p.batch = p.batch[:0]
+	for i := range in {
+		if ev := p.event(&in[i]); ev != nil {
+			p.batch = append(p.batch, ev)
+		}
+	}
+	for _, a := range p.ctl.Step(p.clock(), p.batch) {
+		p.do(a)
+	}
+}
+
+// event turns an input into the controller's event; nil when there is nothing to tell.
+func (p *Planner) event(in *input) admission.Event {
+	switch in.kind {
+	case taken:
+		return p.take(in.x)
+	case left:
+		return p.gone(in.x)
+	case deadline:
+		if in.x.Settle(exchange.Answer{Kind: exchange.Failed, Reason: "the time given has run out"}) {
+			p.counters.Add("deadline", 1)
+			return p.gone(in.x)
+		}
+		return nil
+	case ended:
+		return p.end(in)
+	case listed:
+		p.engines.Update(in.list)
+		return in.list.Members()
+	}
+	return in.ev
+}
+
+func (p *Planner) take(x *exchange.Exchange) admission.Event {
+	if x.Settled() {
+		return nil // its client left before it was looked at
+	}
+	// The controller passes over an id that it holds, so a second request under it would never be answered.
+	if p.open[x.ID] != nil {
+		p.counters.Add("duplicate_id", 1)
+		x.Settle(exchange.Answer{Kind: exchange.Failed, Reason: "a request with this id is open"})
+		return nil
+	}
+	wait := time.Until(x.Deadline()) - answerMargin
+	if wait <= 0 {
+		p.counters.Add("no_time", 1)
+		x.Settle(exchange.Answer{Kind: exchange.Refused, Reason: "no time is left"})
+		return nil
+	}
+	p.counters.Add("taken", 1)
+	e := &entry{x: x, priority: 1}
+	e.timer = time.AfterFunc(wait, func() { p.post(input{kind: deadline, x: x}) })
+	p.open[x.ID] = e
+	return admission.Request{
+		ID: x.ID, Class: x.Class, Tenant: x.Tenant, Left: wait, Work: x.Work, MemMB: x.MemMB, Group: x.Group,
+	}
+}
+
+func (p *Planner) gone(x *exchange.Exchange) admission.Event {
+	e := p.open[x.ID]
+	if e == nil || e.x != x {
+		return nil
+	}
+	p.forget(e)
+	return admission.Gone{ID: x.ID}
+}
+
+// end settles a request that was served, and tells the controller of the attempt's end.
+func (p *Planner) end(in *input) admission.Event {
+	o := in.ev.(admission.Outcome)
+	e := p.open[in.x.ID]
+	if !p.counters.Hold(e != nil && e.x == in.x && e.out > 0, "outcome_unowed") {
+		return nil
+	}
+	e.out--
+	e.mayRun = e.mayRun || !o.Status.NeverRan()
+	if o.Status == admission.OK {
+		if in.x.Settle(exchange.Answer{Kind: exchange.Served, Rows: in.rows}) {
+			p.counters.Add("served", 1)
+		} else {
+			p.counters.Add("served_too_late", 1)
+		}
+	}
+	p.counters.Add("ended_"+statusName(o.Status), 1)
+	o.Closed = in.x.Settled()
+	p.forget(e)
+	return o
+}
+
+// forget drops a request that is answered and has nothing out.
+func (p *Planner) forget(e *entry) {
+	if e.x.Settled() && e.out == 0 {
+		e.timer.Stop()
+		delete(p.open, e.x.ID)
+	}
+}
+
+func (p *Planner) do(a admission.Action) {
+	switch a := a.(type) {
+	case admission.Send:
+		p.send(a)
+	case admission.Terms:
+		if e := p.open[a.ID]; e != nil {
+			e.priority = a.Priority
+		}
+	case admission.Refuse:
+		p.refuse(a)
+	case admission.Fail:
+		p.finish(a.ID, exchange.Answer{Kind: exchange.Failed, Reason: "the query failed and may have run"})
+	case admission.Cancel:
+		p.counters.Add("cancelled", 1)
+		p.engines.Cancel(a.ID, a.Attempt)
+	case admission.Probe:
+		p.counters.Add("probes", 1)
+		p.engines.Probe(a.Engine)
+	case admission.CloseIdle:
+		p.engines.CloseIdle(a.Engine)
+	case admission.SetTimer:
+		time.AfterFunc(a.Delay, func() { p.Told(admission.Timer{Token: a.Token}) })
+	case admission.Log:
+		p.log.Info("controller", "says", a.Text)
+	case admission.Watch, admission.Fetch, admission.Tell:
+		// The change log comes by itself, and front ends can't talk to each other.
+	}
+}
+
+func (p *Planner) send(a admission.Send) {
+	e := p.open[a.ID]
+	if !p.counters.Hold(e != nil && e.out == 0, "two_attempts") {
+		return
+	}
+	n := e.tries
+	e.tries++
+	e.out++
+	p.counters.Add("sent", 1)
+	p.engines.Start(e.x, n, a.Engine, e.priority, a.Cap)
+}
+
+// refuse passes a refusal on, with the pause that the controller advises. A refusal says that a repeat is
+// harmless; guards against saying so of an unsafe request that may have run.
+func (p *Planner) refuse(a admission.Refuse) {
+	e := p.open[a.ID]
+	if e == nil {
+		return
+	}
+	unsafe := p.classes[e.x.Class].Effect == admission.Unsafe && (e.mayRun || e.out > 0)
+	if !p.counters.Hold(!unsafe, "refused_in_doubt") {
+		p.finish(a.ID, exchange.Answer{Kind: exchange.Failed, Reason: "the query failed and may have run"})
+		return
+	}
+	p.finish(a.ID, exchange.Answer{Kind: exchange.Refused, Pause: a.Pause, Reason: "too busy"})
+}
+
+func (p *Planner) finish(id string, answer exchange.Answer) {
+	e := p.open[id]
+	if e == nil {
+		return
+	}
+	if e.x.Settle(answer) {
+		if answer.Kind == exchange.Refused {
+			p.counters.Add("refused", 1)
+		} else {
+			p.counters.Add("failed", 1)
+		}
+	}
+	p.forget(e)
+}
+
+func statusName(s admission.Status) string {
+	return [...]string{"error", "ok", "full", "timeout", "connect_failed", "reset", "cancelled", "moot"}[s]
+}
--- /dev/null
+++ b/internal/roster/roster.go
@@ -0,0 +1,123 @@
+// Package roster turns the change log of the engine list into lists for the planner.
+package roster
+
+import (
+	"fmt"
+	"hash/fnv"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fastjson"
+
+	"beechcart/admission"
+	"beechcart/internal/settings"
+)
+
+// Engine is one entry of the list: what the controller sees of it, and where it is.
+type Engine struct {
+	admission.Engine
+	Name, Addr string
+}
+
+// List is one event of the change log.
+type List struct {
+	Complete bool
+	Engines  []Engine
+}
+
+// Members is the list as the controller takes it.
+func (l List) Members() admission.Members {
+	m := admission.Members{Kind: admission.Partial}
+	if l.Complete {
+		m.Kind = admission.Complete
+	}
+	for _, e := range l.Engines {
+		m.Engines = append(m.Engines, e.Engine)
+	}
+	return m
+}
+
+// Log reads the change log's answers and remembers the last event it holds.
+type Log struct {
+	names settings.Names
+	seq   int64
+}
+
+// NewLog starts before the first event.
+func NewLog(n settings.Names) *Log { return &Log{names: n} }
+
+// Seq is the number of the last event held.
+func (l *Log) Seq() int64 { return l.seq }
+
+// Read takes an answer and returns the lists of its events that are new, in order. An answer that does not
+// read changes nothing.
+func (l *Log) Read(text []byte) ([]List, error) {
+	v, err := fastjson.ParseBytes(text)
+	if err != nil {
+		return nil, fmt.Errorf("change log: %w", err)
+	}
+	if v.Get("seq") == nil || v.Get("seq").Type() != fastjson.TypeNumber {
+		return nil, fmt.Errorf("change log: seq is missing")
+	}
+	var lists []List
+	last := l.seq
+	for _, r := range v.GetArray("results") {
+		seq := r.GetInt64("seq")
+		fleet := r.Get("fleet")
+		if seq <= last {
+			continue
+		}
+		last = seq
+		if fleet == nil {
+			continue // an event of another kind
+		}
+		list := List{Complete: seq == 1 || fleet.GetBool("snapshot")}
+		for _, e := range fleet.GetArray("endpoints") {
+			en, err := l.engine(e)
+			if err != nil {
+				return nil, fmt.Errorf("change log: event %d: %w", seq, err)
+			}
+			list.Engines = append(list.Engines, en)
+		}
+		lists = append(lists, list)
+	}
+	l.seq = max(last, v.GetInt64("seq"))
+	return lists, nil
+}
+
+func (l *Log) engine(v *fastjson.Value) (Engine, error) {
+	str := func(name string) string { return string(v.GetStringBytes(name)) }
+	e := Engine{Name: str("name"), Addr: str("address")}
+	if e.Name == "" {
+		return e, fmt.Errorf("an endpoint has no name")
+	}
+	switch s := str("status"); s {
+	case "ready":
+		e.State = admission.Ready
+	case "draining":
+		e.State = admission.Draining
+	case "gone":
+		e.State = admission.Removed
+	default:
+		return e, fmt.Errorf("%s: status %q is not known", e.Name, s)
+	}
+	e.ID = id(e.Name)
+	e.Kind, e.Zone = settings.Find(l.names.Kinds, str("type")), settings.Find(l.names.Zones, str("zone"))
+	e.Cell, e.Units = v.GetInt("group"), v.GetFloat64("weight")
+	e.Started = time.Duration(v.GetInt64("since_ms")) * time.Millisecond
+	return e, nil
+}
+
+// id is the controller's number for an engine: alike at every front end and after every restart, since the
+// controller ranks engines by it.
+func id(name string) uint32 {
+	if _, hex, ok := strings.Cut(name, "-"); ok && len(hex) == 8 {
+		if n, err := strconv.ParseUint(hex, 16, 32); err == nil {
+			return uint32(n)
+		}
+	}
+	h := fnv.New32a()
+	h.Write([]byte(name))
+	return h.Sum32()
+}
--- a/internal/wire/facts.go
+++ b/internal/settings/facts.go
@@ -1,15 +1,16 @@
-package wire
+package settings
 
 import (
+	"encoding/json"
 	"fmt"
 	"time"
 
-	"tealwheel/admission"
+	"beechcart/admission"
 )
 
-// names maps the settings' names to the indexes that the controller sees.
-type names struct {
-	classes, tenants, zones, kinds map[string]int
+// Names maps the settings' names to the indexes that the controller sees.
+type Names struct {
+	Classes, Tenants, Zones, Kinds map[string]int
 }
 
 // facts is the settings object of a begin event; keys that are not listed are skipped.
@@ -101,11 +102,28 @@
 	return v
 }
 
+// Find looks a name up; -1 when it is not there.
+func Find(m map[string]int, name string) int {
+	if i, ok := m[name]; ok {
+		return i
+	}
+	return -1
+}
+
+// Parse reads the settings object that the bench and the configuration share.
+func Parse(text []byte) (admission.Settings, Names, error) {
+	var f facts
+	if err := json.Unmarshal(text, &f); err != nil {
+		return admission.Settings{}, Names{}, err
+	}
+	return f.settings()
+}
+
 // settings hands the facts over in the controller's terms.
-func (f *facts) settings() (admission.Settings, names, error) {
-	n := names{zones: index(f.Zones), kinds: index(f.Kinds), classes: map[string]int{}, tenants: map[string]int{}}
+func (f *facts) settings() (admission.Settings, Names, error) {
+	n := Names{Zones: index(f.Zones), Kinds: index(f.Kinds), Classes: map[string]int{}, Tenants: map[string]int{}}
 	s := admission.Settings{
-		Me: f.Me, Replicas: f.Replicas, Zone: find(n.zones, f.Locality), Zones: len(f.Zones),
+		Me: f.Me, Replicas: f.Replicas, Zone: Find(n.Zones, f.Locality), Zones: len(f.Zones),
 		OverShareWorth: f.OverShare, Ask: f.Discovery == "ask", AskEvery: f.Rules.AskEvery,
 		Grants: f.Info.Grants, Priorities: f.Info.Lanes, TellsCost: f.Info.SaysCost, NoteEvery: f.Info.TellsEvery,
 		MostGrant: f.Info.MostGrant, MayCancel: f.Permissions.Cancel, MayProbe: f.Permissions.Probes,
@@ -135,11 +153,11 @@
 		s.Kinds = append(s.Kinds, admission.Kind{Cores: at(f.Info.Cores, i), MemoryMB: at(f.Info.MemoryMB, i)})
 	}
 	for i, t := range f.Tenants {
-		n.tenants[t.Name] = i
+		n.Tenants[t.Name] = i
 		s.Tenants = append(s.Tenants, admission.Tenant{Share: t.Fraction, AllowPerS: t.Allowance})
 	}
 	for i, c := range f.Services {
-		n.classes[c.Name] = i
+		n.Classes[c.Name] = i
 		class, err := f.class(i, n)
 		if err != nil {
 			return s, n, err
@@ -149,7 +167,7 @@
 	return s, n, nil
 }
 
-func (f *facts) class(i int, n names) (admission.Class, error) {
+func (f *facts) class(i int, n Names) (admission.Class, error) {
 	c := f.Services[i]
 	out := admission.Class{
 		Aim: c.OnTime, AimStretch: c.Stretch, Deadline: c.Deadline, Worth: c.Points, LateWorth: c.LateWorth,
@@ -170,10 +188,10 @@
 	}
 	// A name that no list holds stays as -1: it matches no engine, so the bound is kept.
 	for _, z := range c.StaysIn {
-		out.OnlyZones = append(out.OnlyZones, find(n.zones, z))
+		out.OnlyZones = append(out.OnlyZones, Find(n.Zones, z))
 	}
 	for _, k := range c.RunsOn {
-		out.OnlyKinds = append(out.OnlyKinds, find(n.kinds, k))
+		out.OnlyKinds = append(out.OnlyKinds, Find(n.Kinds, k))
 	}
 	return out, nil
 }
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -8,7 +8,8 @@
 	"strings"
 	"time"
 
-	"tealwheel/admission"
+	"beechcart/admission"
+	"beechcart/internal/settings"
 )
 
 // line is one parsed line: a message name and its pairs.
@@ -223,12 +224,12 @@
 
 func workItem(in *instance, r *reader) admission.Event {
 	band := r.str("band")
-	class, ok := in.names.classes[band]
+	class, ok := in.names.Classes[band]
 	if !ok {
 		r.keep(fmt.Errorf("work_item: field band: %q is not in the settings", clip(band)))
 	}
 	ev := admission.Request{
-		ID: r.str("ticket"), Class: class, Tenant: find(in.names.tenants, r.get("org")),
+		ID: r.str("ticket"), Class: class, Tenant: settings.Find(in.names.Tenants, r.get("org")),
 		Key: r.get("order_key"), Left: time.Duration(r.num("patience_left")),
 		Work: time.Duration(r.opt("est_cost")), MemMB: r.real("mem_mb"), Group: -1,
 		Retry: r.opt("repeat") == 1, Write: r.opt("update") == 1,
@@ -262,7 +263,7 @@
 	for _, kv := range list {
 		e := &reader{line: line{op: "engine", kv: kv}}
 		ent := admission.Engine{
-			ID: e.engine(), Kind: find(in.names.kinds, kv["shape"]), Zone: find(in.names.zones, kv["rack_zone"]),
+			ID: e.engine(), Kind: settings.Find(in.names.Kinds, kv["shape"]), Zone: settings.Find(in.names.Zones, kv["rack_zone"]),
 			Cell: int(e.opt("cell")), Units: e.real("units"), Started: time.Duration(e.opt("last_start")),
 		}
 		switch kv["state"] {
@@ -279,11 +280,3 @@
 	}
 	return m
 }
-
-// find looks a name up; -1 when it is not there.
-func find(m map[string]int, name string) int {
-	if i, ok := m[name]; ok {
-		return i
-	}
-	return -1
-}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -5,20 +5,20 @@
 import (
 	"bufio"
 	"encoding/hex"
-	"encoding/json"
 	"fmt"
 	"io"
 	"strconv"
 	"strings"
 	"time"
 
-	"tealwheel/admission"
+	"beechcart/admission"
+	"beechcart/internal/settings"
 )
 
 // instance is one gateway: its controller and the names it was given in its settings.
 type instance struct {
 	ctl   *admission.Controller
-	names names
+	names settings.Names
 	batch []admission.Event
 	live  bool
 }
@@ -159,11 +159,7 @@
 		}
 		seed = uint64(signed)
 	}
-	var f facts
-	if err := json.Unmarshal([]byte(l.get("facts")), &f); err != nil {
-		return fmt.Errorf("facts: %w", err)
-	}
-	set, n, err := f.settings()
+	set, n, err := settings.Parse([]byte(l.get("facts")))
 	if err != nil {
 		return fmt.Errorf("facts: %w", err)
 	}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -7,7 +7,7 @@
 	"testing"
 )
 
-const settings = `{"discovery":"push","family_info":{"size_cores":[8,8],"kind_memory_mb":[16384,16384],` +
+const facts = `{"discovery":"push","family_info":{"size_cores":[8,8],"kind_memory_mb":[16384,16384],` +
 	`"threads_by_class":[1,2],"holds_tables":[false,true],"waits_for_loads":[true,false],"lanes_count":true,` +
 	`"overbooked":"cut","takes_grants":true,"unheard_of":{"x":1}},"locality":"east","me":0,"replicas_of_me":1,` +
 	`"permissions":{"attempts_cap":3,"max_retry_after":2000000000,"retry_after":true},` +
@@ -18,7 +18,7 @@
 	`"runs_on":["b"]}],"skus":["a","b"],"tenants":[{"name":"t","fraction":1,"allowance_per_s":50}],"zones":["east"]}`
 
 func begin(who int) string {
-	return fmt.Sprintf("begin who=%d rng_seed=%d facts=%s\n", who, who+1, settings) +
+	return fmt.Sprintf("begin who=%d rng_seed=%d facts=%s\n", who, who+1, facts) +
 		"catalog roster_id=0 records=2\n" +
 		"engine shape=a rack_zone=east state=in_service cell=0 units=1 engine=11\n" +
 		"engine shape=b rack_zone=east state=in_service cell=0 units=1 engine=22\n" +
