Size GOMAXPROCS to the cores, not to one more

Seen: the run time had one more thread than cores, on the guess that netpoll's poller, blocked in epoll_wait, would hold the only one and delay other work. Lines: fit in cmd/beechcart/main.go.

--- a/cmd/beechcart/main.go
+++ b/cmd/beechcart/main.go
@@ -99,7 +99,7 @@
 
 // fit sizes the run time to the machine that the front end has.
 func fit(cfg *settings.Config) error {
-	runtime.GOMAXPROCS(int(cfg.Cores) + 1)
+	runtime.GOMAXPROCS(max(1, int(cfg.Cores)))
 	debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * 7 / 10)
 	return netpoll.Configure(netpoll.Config{PollerNum: 1})
 }
