--- a/admission/controller_test.go
+++ b/admission/controller_test.go
@@ -44,7 +44,6 @@
 	t   *testing.T
 	c   *Controller
 	now time.Duration
-	n   int
 }
 
 func start(t *testing.T, s Settings, list []Engine) *bed {
--- a/admission/state.go
+++ b/admission/state.go
@@ -62,9 +62,7 @@
 type engine struct {
 	Engine
 	cores, memory float64
-	known         bool
 	gone          bool
-	told          time.Duration // when we heard that it drains or is gone
 	coldFrom      time.Duration // when it started, as far as we know; negative: long ago
 	spent         []spend       // own work sent while it is cold
 	rep           Report
@@ -337,17 +335,17 @@
 // New returns a controller for the settings; the error names the field that is not valid.
 func New(set Settings, seed uint64) (*Controller, error) {
 	if set.Replicas < 1 {
-		return nil, errors.New("Replicas: must be at least 1")
+		return nil, errors.New("settings: Replicas: must be at least 1")
 	}
 	if len(set.Classes) == 0 {
-		return nil, errors.New("Classes: must not be empty")
+		return nil, errors.New("settings: Classes: must not be empty")
 	}
 	if set.Budgeted && set.TrySpan <= 0 {
-		return nil, errors.New("TrySpan: must be positive where attempts are budgeted")
+		return nil, errors.New("settings: TrySpan: must be positive where attempts are budgeted")
 	}
 	for i, k := range set.Kinds {
 		if k.Cores < 0 || k.MemoryMB < 0 {
-			return nil, fmt.Errorf("Kinds[%d]: cores and memory must not be negative", i)
+			return nil, fmt.Errorf("settings: Kinds[%d]: cores and memory must not be negative", i)
 		}
 	}
 	c := &Controller{
@@ -361,7 +359,7 @@
 	for i := range c.set.Classes {
 		cl := &c.set.Classes[i]
 		if cl.Deadline <= 0 {
-			return nil, fmt.Errorf("Classes[%d].Deadline: must be positive", i)
+			return nil, fmt.Errorf("settings: Classes[%d].Deadline: must be positive", i)
 		}
 		cl.Threads = max(cl.Threads, 1)
 		c.order = append(c.order, i)
@@ -370,7 +368,7 @@
 	for i := range max(len(set.Tenants), 1) {
 		t := &tenant{lists: make([][2][]*request, len(set.Classes)), weight: 1, tokens: math.Inf(1)}
 		if i < len(set.Tenants) && set.Tenants[i].AllowPerS < 0 {
-			return nil, fmt.Errorf("Tenants[%d].AllowPerS: must not be negative", i)
+			return nil, fmt.Errorf("settings: Tenants[%d].AllowPerS: must not be negative", i)
 		}
 		c.tens = append(c.tens, t)
 	}
--- a/internal/settings/config.go
+++ b/internal/settings/config.go
@@ -30,6 +30,9 @@
 
 // Load reads the configuration file and applies the environment's name and address over it.
 func Load(path string, env func(string) string) (*Config, error) {
+	if path == "" {
+		return nil, errors.New("configuration: PROXY_CONFIG names no file")
+	}
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return nil, fmt.Errorf("configuration: %w", err)
@@ -82,21 +85,21 @@
 	if k := v.Get("known"); k != nil {
 		c.Known = k.MarshalTo(nil)
 	}
-	set := v.Get("settings")
-	if set == nil {
+	set := newFacts(v.Get("settings"))
+	if set.v == nil {
 		return nil, errors.New("settings: missing")
 	}
-	if c.Admission, c.Names, err = Parse(set.MarshalTo(nil)); err != nil {
+	if c.Admission, c.Names, err = parse(set.v); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	// The MySQL front carries the pause in the error's message, so it is asked of the module also where the
 	// settings know no field for it.
-	c.Admission.MaxPause = time.Duration(set.GetInt64("permissions", "max_retry_after"))
-	if d := set.GetInt64("permissions", "connect_timeout"); d > 0 {
-		c.ConnectTimeout = time.Duration(d)
+	c.Admission.MaxPause = set.dur("permissions.max_retry_after")
+	if d := set.dur("permissions.connect_timeout"); d > 0 {
+		c.ConnectTimeout = d
 	}
-	if d := set.GetInt64("permissions", "conn_idle"); d > 0 {
-		c.ConnIdle = time.Duration(d)
+	if d := set.dur("permissions.conn_idle"); d > 0 {
+		c.ConnIdle = d
 	}
-	return c, nil
+	return c, *set.err
 }
--- a/internal/settings/facts.go
+++ b/internal/settings/facts.go
@@ -1,10 +1,12 @@
 package settings
 
 import (
-	"encoding/json"
 	"fmt"
+	"strings"
 	"time"
 
+	"github.com/valyala/fastjson"
+
 	"beechcart/admission"
 )
 
@@ -13,78 +15,93 @@
 	Classes, Tenants, Zones, Kinds map[string]int
 }
 
-// facts is the settings object of a begin event; keys that are not listed are skipped.
-type facts struct {
-	Callers struct {
-		MarksRetry bool `json:"marks_retry"`
-	} `json:"callers"`
-	Discovery string `json:"discovery"`
-	Info      struct {
-		Holds      []bool        `json:"holds_tables"`
-		MemoryMB   []float64     `json:"kind_memory_mb"`
-		Lanes      bool          `json:"lanes_count"`
-		MostGrant  float64       `json:"most_grant"`
-		Overbooked string        `json:"overbooked"`
-		SaysCost   bool          `json:"says_cost"`
-		Cores      []int         `json:"size_cores"`
-		Grants     bool          `json:"takes_grants"`
-		TellsEvery time.Duration `json:"tells_every"`
-		Threads    []int         `json:"threads_by_class"`
-		Waits      []bool        `json:"waits_for_loads"`
-	} `json:"family_info"`
-	Locality    string  `json:"locality"`
-	Me          int     `json:"me"`
-	OverShare   float64 `json:"over_share_worth"`
-	Permissions struct {
-		Attempts   int           `json:"attempts_cap"`
-		Cancel     bool          `json:"cancel"`
-		MaxPause   time.Duration `json:"max_retry_after"`
-		Copies     bool          `json:"may_duplicate"`
-		Tell       bool          `json:"may_tell"`
-		Probes     bool          `json:"probes"`
-		RetryAfter bool          `json:"retry_after"`
-	} `json:"permissions"`
-	Replicas  int `json:"replicas_of_me"`
-	Reporting struct {
-		Via string `json:"via"`
-	} `json:"reporting"`
-	Rules struct {
-		Slack    time.Duration  `json:"answer_slack"`
-		AskEvery time.Duration  `json:"ask_every"`
-		Cold     time.Duration  `json:"cold"`
-		ColdFrom float64        `json:"cold_from"`
-		Drain    time.Duration  `json:"drain_grace"`
-		Multiple float64        `json:"fall_multiple"`
-		Overload time.Duration  `json:"overload_for"`
-		Settle   time.Duration  `json:"settle_after_doubt"`
-		Spare    *float64       `json:"spare_attempts"`
-		Ratio    *float64       `json:"repeat_ratio"`
-		Span     *time.Duration `json:"ratio_span"`
-	} `json:"rules"`
-	Services []service `json:"services"`
-	Kinds    []string  `json:"skus"`
-	Tenants  []struct {
-		Allowance float64 `json:"allowance_per_s"`
-		Fraction  float64 `json:"fraction"`
-		Name      string  `json:"name"`
-	} `json:"tenants"`
-	Zones []string `json:"zones"`
-}
-
-type service struct {
-	Stretch   float64       `json:"aim_stretch"`
-	Deadline  time.Duration `json:"deadline"`
-	Group     string        `json:"group"`
-	InOrder   bool          `json:"in_order"`
-	LateWorth float64       `json:"late_worth"`
-	Window    time.Duration `json:"memory_span"`
-	Name      string        `json:"name"`
-	OnTime    time.Duration `json:"on_time"`
-	Points    float64       `json:"points"`
-	RunsOn    []string      `json:"runs_on"`
-	StaysIn   []string      `json:"stays_in"`
-	Semantics string        `json:"semantics"`
-	Stream    bool          `json:"stream"`
+// Find looks a name up; -1 when it is not there.
+func Find(m map[string]int, name string) int {
+	if i, ok := m[name]; ok {
+		return i
+	}
+	return -1
+}
+
+// Parse reads the settings object that the bench and the configuration share. Keys that are not known are
+// skipped; absent ones are zero; a value of a wrong type is an error that names it.
+func Parse(text []byte) (admission.Settings, Names, error) {
+	v, err := fastjson.ParseBytes(text)
+	if err != nil {
+		return admission.Settings{}, Names{}, err
+	}
+	return parse(v)
+}
+
+func parse(v *fastjson.Value) (admission.Settings, Names, error) {
+	f := newFacts(v)
+	n := Names{
+		Zones: index(f.words("zones")), Kinds: index(f.words("skus")), Classes: map[string]int{}, Tenants: map[string]int{},
+	}
+	s := admission.Settings{
+		Me: f.integer("me"), Replicas: f.integer("replicas_of_me"),
+		Zone: Find(n.Zones, f.word("locality")), Zones: len(n.Zones), OverShareWorth: f.number("over_share_worth"),
+		Ask: f.word("discovery") == "ask", AskEvery: f.dur("rules.ask_every"),
+		Via: pick(f, "reporting.via", map[string]admission.Via{
+			"": admission.Silent, "silent": admission.Silent, "piggyback": admission.Piggyback, "pull": admission.Pull,
+		}),
+		Grants: f.yes("family_info.takes_grants"), Priorities: f.yes("family_info.lanes_count"),
+		TellsCost: f.yes("family_info.says_cost"), NoteEvery: f.dur("family_info.tells_every"),
+		Shortage: pick(f, "family_info.overbooked", map[string]admission.Shortage{
+			"": admission.LineUp, "line_up": admission.LineUp, "cut": admission.Cut, "overcommit": admission.Overcommit,
+		}),
+		MostGrant: f.number("family_info.most_grant"), MayCancel: f.yes("permissions.cancel"),
+		MayProbe: f.yes("permissions.probes"), MayTell: f.yes("permissions.may_tell"),
+		MayCopy: f.yes("permissions.may_duplicate"), MaxAttempts: f.integer("permissions.attempts_cap"),
+		MarksRetry: f.yes("callers.marks_retry"), Slack: f.dur("rules.answer_slack"),
+		DrainGrace: f.dur("rules.drain_grace"), ColdFrom: f.number("rules.cold_from"), Cold: f.dur("rules.cold"),
+		FallMultiple: f.number("rules.fall_multiple"), FallWindow: f.dur("rules.overload_for"),
+		Settle:     f.dur("rules.settle_after_doubt"),
+		Budgeted:   f.at("rules.spare_attempts") != nil || f.at("rules.repeat_ratio") != nil,
+		SpareTries: f.number("rules.spare_attempts"), TryRatio: f.number("rules.repeat_ratio"),
+		TrySpan: f.dur("rules.ratio_span"),
+	}
+	if f.yes("permissions.retry_after") {
+		s.MaxPause = f.dur("permissions.max_retry_after")
+	}
+	cores, memory := f.list("family_info.size_cores"), f.list("family_info.kind_memory_mb")
+	for i := range f.list("skus") {
+		s.Kinds = append(s.Kinds, admission.Kind{Cores: nth(cores, i).integer(""), MemoryMB: nth(memory, i).number("")})
+	}
+	for i, t := range f.list("tenants") {
+		n.Tenants[t.word("name")] = i
+		s.Tenants = append(s.Tenants, admission.Tenant{Share: t.number("fraction"), AllowPerS: t.number("allowance_per_s")})
+	}
+	for i, c := range f.list("services") {
+		n.Classes[c.word("name")] = i
+		s.Classes = append(s.Classes, f.class(i, c, n))
+	}
+	return s, n, *f.err
+}
+
+func (f *facts) class(i int, c *facts, n Names) admission.Class {
+	out := admission.Class{
+		Aim: c.dur("on_time"), AimStretch: c.number("aim_stretch"), Deadline: c.dur("deadline"),
+		Worth: c.number("points"), LateWorth: c.number("late_worth"),
+		Effect: pick(c, "semantics", map[string]admission.Effect{
+			"read_like": admission.Safe, "idempotency_key": admission.Keyed, "non_idempotent": admission.Unsafe,
+		}),
+		Group: pick(c, "group", map[string]admission.Scope{
+			"": admission.ScopeAll, "all": admission.ScopeAll, "zone": admission.ScopeZone, "cell": admission.ScopeCell,
+		}),
+		Window: c.dur("memory_span"), InOrder: c.yes("in_order"), Stream: c.yes("stream"),
+		Threads: nth(f.list("family_info.threads_by_class"), i).integer(""),
+		Holds:   nth(f.list("family_info.holds_tables"), i).yes(""),
+		Waits:   nth(f.list("family_info.waits_for_loads"), i).yes(""),
+	}
+	// A name that no list holds stays as -1: it matches no engine, so the bound is kept.
+	for _, z := range c.words("stays_in") {
+		out.OnlyZones = append(out.OnlyZones, Find(n.Zones, z))
+	}
+	for _, k := range c.words("runs_on") {
+		out.OnlyKinds = append(out.OnlyKinds, Find(n.Kinds, k))
+	}
+	return out
 }
 
 func index(list []string) map[string]int {
@@ -95,118 +112,105 @@
 	return m
 }
 
-func at[T any](list []T, i int) (v T) {
-	if i < len(list) {
-		v = list[i]
+// facts reads fields of a JSON object by their paths, and keeps the first error. A path such as rules.cold
+// names a field of an inner object; the empty one names the value itself.
+type facts struct {
+	v    *fastjson.Value
+	name string
+	err  *error // shared by all that belong to one object
+}
+
+func newFacts(v *fastjson.Value) *facts { return &facts{v: v, err: new(error)} }
+
+func (f *facts) keep(err error) {
+	if *f.err == nil {
+		*f.err = err
+	}
+}
+
+// at is the value at a path; nil when it is absent or null.
+func (f *facts) at(path string) *fastjson.Value {
+	v := f.v
+	if path != "" {
+		v = v.Get(strings.Split(path, ".")...)
+	}
+	if v == nil || v.Type() == fastjson.TypeNull {
+		return nil
 	}
 	return v
 }
 
-// Find looks a name up; -1 when it is not there.
-func Find(m map[string]int, name string) int {
-	if i, ok := m[name]; ok {
-		return i
+func (f *facts) check(path string, err error) {
+	if err != nil {
+		f.keep(fmt.Errorf("%s: %w", strings.Trim(f.name+"."+path, "."), err))
 	}
-	return -1
 }
 
-// Parse reads the settings object that the bench and the configuration share.
-func Parse(text []byte) (admission.Settings, Names, error) {
-	var f facts
-	if err := json.Unmarshal(text, &f); err != nil {
-		return admission.Settings{}, Names{}, err
+func (f *facts) number(path string) (n float64) {
+	if v := f.at(path); v != nil {
+		var err error
+		n, err = v.Float64()
+		f.check(path, err)
 	}
-	return f.settings()
+	return n
 }
 
-// settings hands the facts over in the controller's terms.
-func (f *facts) settings() (admission.Settings, Names, error) {
-	n := Names{Zones: index(f.Zones), Kinds: index(f.Kinds), Classes: map[string]int{}, Tenants: map[string]int{}}
-	s := admission.Settings{
-		Me: f.Me, Replicas: f.Replicas, Zone: Find(n.Zones, f.Locality), Zones: len(f.Zones),
-		OverShareWorth: f.OverShare, Ask: f.Discovery == "ask", AskEvery: f.Rules.AskEvery,
-		Grants: f.Info.Grants, Priorities: f.Info.Lanes, TellsCost: f.Info.SaysCost, NoteEvery: f.Info.TellsEvery,
-		MostGrant: f.Info.MostGrant, MayCancel: f.Permissions.Cancel, MayProbe: f.Permissions.Probes,
-		MayTell: f.Permissions.Tell, MayCopy: f.Permissions.Copies, MaxAttempts: f.Permissions.Attempts,
-		MarksRetry: f.Callers.MarksRetry,
-		Slack:      f.Rules.Slack, DrainGrace: f.Rules.Drain, ColdFrom: f.Rules.ColdFrom, Cold: f.Rules.Cold,
-		FallMultiple: f.Rules.Multiple, FallWindow: f.Rules.Overload, Settle: f.Rules.Settle,
-	}
-	if f.Permissions.RetryAfter {
-		s.MaxPause = f.Permissions.MaxPause
-	}
-	s.Budgeted = f.Rules.Spare != nil || f.Rules.Ratio != nil
-	s.SpareTries, s.TryRatio, s.TrySpan = deref(f.Rules.Spare), deref(f.Rules.Ratio), deref(f.Rules.Span)
-	var err error
-	if s.Via, err = pick("reporting.via", f.Reporting.Via, map[string]admission.Via{
-		"": admission.Silent, "silent": admission.Silent, "piggyback": admission.Piggyback, "pull": admission.Pull,
-	}); err != nil {
-		return s, n, err
-	}
-	if s.Shortage, err = pick("family_info.overbooked", f.Info.Overbooked, map[string]admission.Shortage{
-		"": admission.LineUp, "line_up": admission.LineUp, "cut": admission.Cut,
-		"overcommit": admission.Overcommit,
-	}); err != nil {
-		return s, n, err
-	}
-	for i := range f.Kinds {
-		s.Kinds = append(s.Kinds, admission.Kind{Cores: at(f.Info.Cores, i), MemoryMB: at(f.Info.MemoryMB, i)})
-	}
-	for i, t := range f.Tenants {
-		n.Tenants[t.Name] = i
-		s.Tenants = append(s.Tenants, admission.Tenant{Share: t.Fraction, AllowPerS: t.Allowance})
-	}
-	for i, c := range f.Services {
-		n.Classes[c.Name] = i
-		class, err := f.class(i, n)
-		if err != nil {
-			return s, n, err
-		}
-		s.Classes = append(s.Classes, class)
-	}
-	return s, n, nil
-}
-
-func (f *facts) class(i int, n Names) (admission.Class, error) {
-	c := f.Services[i]
-	out := admission.Class{
-		Aim: c.OnTime, AimStretch: c.Stretch, Deadline: c.Deadline, Worth: c.Points, LateWorth: c.LateWorth,
-		Window: c.Window, InOrder: c.InOrder, Stream: c.Stream, Threads: at(f.Info.Threads, i),
-		Holds: at(f.Info.Holds, i), Waits: at(f.Info.Waits, i),
-	}
-	field := fmt.Sprintf("services[%d].", i)
-	var err error
-	if out.Effect, err = pick(field+"semantics", c.Semantics, map[string]admission.Effect{
-		"read_like": admission.Safe, "idempotency_key": admission.Keyed, "non_idempotent": admission.Unsafe,
-	}); err != nil {
-		return out, err
-	}
-	if out.Group, err = pick(field+"group", c.Group, map[string]admission.Scope{
-		"": admission.ScopeAll, "all": admission.ScopeAll, "zone": admission.ScopeZone, "cell": admission.ScopeCell,
-	}); err != nil {
-		return out, err
+func (f *facts) integer(path string) int { return int(f.number(path)) }
+
+func (f *facts) dur(path string) time.Duration { return time.Duration(f.number(path)) }
+
+func (f *facts) yes(path string) (b bool) {
+	if v := f.at(path); v != nil {
+		var err error
+		b, err = v.Bool()
+		f.check(path, err)
 	}
-	// A name that no list holds stays as -1: it matches no engine, so the bound is kept.
-	for _, z := range c.StaysIn {
-		out.OnlyZones = append(out.OnlyZones, Find(n.Zones, z))
+	return b
+}
+
+func (f *facts) word(path string) string {
+	v := f.at(path)
+	if v == nil {
+		return ""
+	}
+	b, err := v.StringBytes()
+	f.check(path, err)
+	return string(b)
+}
+
+func (f *facts) list(path string) (list []*facts) {
+	v := f.at(path)
+	if v == nil {
+		return nil
 	}
-	for _, k := range c.RunsOn {
-		out.OnlyKinds = append(out.OnlyKinds, Find(n.Kinds, k))
+	values, err := v.Array()
+	f.check(path, err)
+	for i, v := range values {
+		list = append(list, &facts{v: v, name: fmt.Sprintf("%s[%d]", path, i), err: f.err})
 	}
-	return out, nil
+	return list
 }
 
-func pick[T any](field, word string, m map[string]T) (T, error) {
-	v, ok := m[word]
-	if !ok {
-		return v, fmt.Errorf("%s: %q is not known", field, word)
+func (f *facts) words(path string) (words []string) {
+	for _, v := range f.list(path) {
+		words = append(words, v.word(""))
 	}
-	return v, nil
+	return words
 }
 
-func deref[T any](p *T) (v T) {
-	if p != nil {
-		v = *p
+// nth is an entry of a list; an absent one reads as zeroes.
+func nth(list []*facts, i int) *facts {
+	if i < len(list) {
+		return list[i]
+	}
+	return newFacts(nil)
+}
+
+func pick[T any](f *facts, path string, m map[string]T) T {
+	word := f.word(path)
+	v, ok := m[word]
+	if !ok {
+		f.check(path, fmt.Errorf("%q is not known", word))
 	}
 	return v
 }
