Post again on a new connection when nothing could be written to the old one

Seen: in review, run took a write that failed at once for a lost call: an attempt of which no byte had gone out was asked for, unknown, and ended as a reset, which a load may not repeat. A write that timed out may have put out a part and still counts as in doubt. Lines: run, connect and call in internal/engine/attempt.go. Bodies and results are bounded by less.

--- a/internal/engine/attempt.go
+++ b/internal/engine/attempt.go
@@ -42,6 +42,8 @@
 	c      *conn
 	asked  time.Time // the last time that anything could have asked for it
 	posted bool      // the engine has answered the POST, so none is under way
+
+	unwritten bool // nothing of the last call has gone out
 }
 
 func (a *attempt) stopped() bool {
@@ -58,28 +60,22 @@
 	if a.peer == nil {
 		return admission.Moot, nil
 	}
-	var err error
-	if a.c, err = a.peer.get(false); err != nil {
-		if err == errNoSocket {
-			a.fleet.opt.Counters.Add("no_socket", 1)
-			return admission.Full, nil
+	r, n, err := response{}, 0, error(nil)
+	for {
+		if status := a.connect(); status != admission.OK {
+			return status, nil
 		}
-		return admission.ConnectFailed, nil
-	}
-	// Guards against late sends: the wait for a connection may have outlasted the word that the engine drains,
-	// the request, or the time left.
-	left := time.Until(a.due)
-	if a.stopped() || !a.peer.isReady() || left < time.Millisecond {
-		a.peer.put(a.c)
-		a.fleet.opt.Counters.Add("unsent", 1)
-		return admission.Moot, nil
+		left := time.Until(a.due)
+		a.c.begin("POST", "/v2/q", a.peer.addr)
+		a.c.header("X-Txn", a.x.ID)
+		a.c.header("X-Lane", a.x.ClassName)
+		a.c.header("X-Limit-Ms", strconv.FormatInt(left.Milliseconds(), 10))
+		a.c.header("X-Weight-Class", strconv.Itoa(a.priority))
+		if r, n, err = a.call(a.x.Statement); !a.unwritten {
+			break
+		}
+		a.c.close() // it was closed under our hands, and nothing has gone out
 	}
-	a.c.begin("POST", "/v2/q", a.peer.addr)
-	a.c.header("X-Txn", a.x.ID)
-	a.c.header("X-Lane", a.x.ClassName)
-	a.c.header("X-Limit-Ms", strconv.FormatInt(left.Milliseconds(), 10))
-	a.c.header("X-Weight-Class", strconv.Itoa(a.priority))
-	r, n, err := a.call(a.x.Statement)
 	for {
 		if err != nil {
 			a.c.close()
@@ -106,11 +102,32 @@
 	}
 }
 
+// connect gets a connection that may carry the POST; any status but OK is the end of the attempt.
+func (a *attempt) connect() admission.Status {
+	var err error
+	if a.c, err = a.peer.get(false); err == errNoSocket {
+		a.fleet.opt.Counters.Add("no_socket", 1)
+		return admission.Full
+	} else if err != nil {
+		return admission.ConnectFailed
+	}
+	// Guards against late sends: the wait for a connection may have outlasted the word that the engine drains,
+	// the request, or the time left.
+	if a.stopped() || !a.peer.isReady() || time.Until(a.due) < time.Millisecond {
+		a.peer.put(a.c)
+		a.fleet.opt.Counters.Add("unsent", 1)
+		return admission.Moot
+	}
+	return admission.OK
+}
+
 // call sends the call in hand and reads its answer. All it sends may ask for the query.
 func (a *attempt) call(body []byte) (response, int, error) {
 	a.asked = time.Now()
 	err := a.c.send(body)
 	a.asked = time.Now()
+	// A write that failed at once took nothing: the machine knew already that the connection had ended.
+	a.unwritten = err != nil && !isTimeout(err)
 	if err != nil {
 		return response{}, 0, err
 	}
@@ -204,8 +221,11 @@
 	}
 }
 
-// mostPages bounds what one result may have.
-const mostPages = 4096
+// The bounds of one result.
+const (
+	mostPages = 1024
+	mostRows  = 1 << 20
+)
 
 // pages reads the whole result after a good end: a page that is lost must be an outcome, not half an answer.
 func (a *attempt) pages(r response, n int) (admission.Status, []byte) {
@@ -213,12 +233,13 @@
 	a.outcome.NeedMB = r.wanted
 	a.outcome.Report = report(r.gauges)
 	total := r.pages
-	if !a.fleet.opt.Counters.Hold(total <= mostPages, "page_count") {
+	if total > mostPages {
+		a.fleet.opt.Counters.Add("wrong_page", 1)
 		a.c.close()
 		return admission.Errored, nil
 	}
 	// The rows outlive the buffers of the connection: this is the one copy that is made of them.
-	rows := make([]byte, 0, len(r.body)*max(total, 1))
+	rows := make([]byte, 0, min(len(r.body)*max(total, 1), mostRows))
 	rows = append(rows, r.body...)
 	for page := 1; page < total; page++ {
 		if a.c.done(n) != nil || r.close {
@@ -240,7 +261,7 @@
 			}
 			a.c = c
 		}
-		if r.code != 200 || r.page != page {
+		if r.code != 200 || r.page != page || len(rows)+len(r.body) > mostRows {
 			a.fleet.opt.Counters.Add("wrong_page", 1)
 			a.c.close()
 			return admission.Errored, nil
--- a/internal/engine/http.go
+++ b/internal/engine/http.go
@@ -9,7 +9,7 @@
 // The bounds of what an engine, or the change log, may send.
 const (
 	maxHead = 16 << 10
-	maxBody = 4 << 20
+	maxBody = 256 << 10
 )
 
 var (
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -92,7 +92,7 @@
 	if e.Name == "" {
 		return e, fmt.Errorf("an endpoint has no name")
 	}
-	switch s := str("status"); s {
+	switch str("status") {
 	case "ready":
 		e.State = admission.Ready
 	case "draining":
@@ -100,7 +100,9 @@
 	case "gone":
 		e.State = admission.Removed
 	default:
-		return e, fmt.Errorf("%s: status %q is not known", e.Name, s)
+		// Guards against a state of a later change log: an event that is never taken would hold up all that
+		// follow, and an engine in a state that we do not know gets nothing new.
+		e.State = admission.Draining
 	}
 	e.ID = id(e.Name)
 	e.Kind, e.Zone = settings.Find(l.names.Kinds, str("type")), settings.Find(l.names.Zones, str("zone"))
--- /dev/null
+++ b/internal/roster/roster_test.go
@@ -0,0 +1,63 @@
+package roster
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"beechcart/admission"
+	"beechcart/internal/settings"
+)
+
+const first = `{"seq":1,"fleet":{"index":7,"snapshot":false,"endpoints":[{"name":"s-00c41f7a","address":"10.1.0.9:7001",
+"zone":"east","type":"std","group":2,"status":"ready","weight":4,"since_ms":1500}]}}`
+
+func TestRead(t *testing.T) {
+	l := NewLog(settings.Names{Zones: map[string]int{"east": 1}, Kinds: map[string]int{"std": 0}})
+	lists, err := l.Read([]byte(`{"seq":1,"results":[` + first + `]}`))
+	require.NoError(t, err)
+	want := Engine{Engine: admission.Engine{ID: 0xc41f7a, Zone: 1, Cell: 2, Units: 4, Started: 1500 * time.Millisecond},
+		Name: "s-00c41f7a", Addr: "10.1.0.9:7001"}
+	assert.Equal(t, []List{{Complete: true, Engines: []Engine{want}}}, lists)
+	assert.Equal(t, admission.Complete, lists[0].Members().Kind)
+
+	lists, err = l.Read([]byte(`{"seq":4,"results":[` + first + `,{"seq":2,"object":{}},{"seq":3,"fleet":{"endpoints":[
+		{"name":"s-1","status":"draining"},{"name":"s-2","status":"gone"},{"name":"s-3","status":"resting"}]}},
+		{"seq":4,"fleet":{"snapshot":true,"endpoints":[]}}]}`))
+	require.NoError(t, err)
+	require.Len(t, lists, 2, "what is held already, or of another kind, is passed over")
+	var states []admission.State
+	for _, e := range lists[0].Engines {
+		states = append(states, e.State)
+	}
+	assert.Equal(t, []admission.State{admission.Draining, admission.Removed, admission.Draining}, states)
+	assert.Equal(t, admission.Partial, lists[0].Members().Kind)
+	assert.True(t, lists[1].Complete)
+	assert.EqualValues(t, 4, l.Seq())
+
+	lists, err = l.Read([]byte(`{"seq":4,"results":[]}`))
+	assert.NoError(t, err)
+	assert.Empty(t, lists)
+}
+
+func TestReadMalformed(t *testing.T) {
+	for _, in := range []string{"", "{", "[]", `{"results":[]}`, `{"seq":"1"}`, `{"seq":2,"results":[{"seq":2,"fleet":{"endpoints":[{}]}}]}`} {
+		l := NewLog(settings.Names{})
+		_, err := l.Read([]byte(in))
+		assert.Error(t, err, in)
+		assert.Zero(t, l.Seq(), "an answer that does not read changes nothing")
+	}
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add([]byte(`{"seq":1,"results":[` + first + `]}`))
+	f.Fuzz(func(t *testing.T, in []byte) {
+		l := NewLog(settings.Names{})
+		if lists, err := l.Read(in); err != nil {
+			require.Empty(t, lists)
+			require.Zero(t, l.Seq())
+		}
+	})
+}
