--- a/cmd/beechcart/main.go
+++ b/cmd/beechcart/main.go
@@ -43,7 +43,7 @@
 	}
 	ctl, err := admission.New(cfg.Admission, cfg.Seed)
 	if err != nil {
-		return fmt.Errorf("settings: %w", err)
+		return fmt.Errorf("configuration: %w", err)
 	}
 	changes := roster.NewLog(cfg.Names)
 	var known []roster.List
--- /dev/null
+++ b/internal/mysql/parse_test.go
@@ -0,0 +1,138 @@
+package mysql
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"beechcart/internal/exchange"
+	"beechcart/internal/settings"
+)
+
+func names() settings.Names {
+	return settings.Names{Classes: map[string]int{"lookup": 0, "report": 1}, Tenants: map[string]int{"acme": 0}}
+}
+
+func TestParseQuery(t *testing.T) {
+	r, err := parseQuery([]byte("/* c=report,i=9b1f03aa5c7e2d41,d=1500,t=acme,h=820.5,need_mb=96,new=1 */ SELECT x FROM sales_17.orders"), names())
+	require.NoError(t, err)
+	assert.Equal(t, exchange.Request{
+		ID: "9b1f03aa5c7e2d41", ClassName: "report", Class: 1, Tenant: 0, Left: 1500 * time.Millisecond,
+		Work: 820500 * time.Microsecond, MemMB: 96, Group: 17, Statement: []byte("SELECT x FROM sales_17.orders"),
+	}, r)
+	for in, want := range map[string]string{
+		"SELECT 1":         "missing",
+		"/*":               "does not end",
+		"/*/ SELECT 1":     "does not end",
+		"/* c */ SELECT 1": "name=value",
+		"/* c=x,i=9b1f03aa5c7e2d41,d=1 */ SELECT 1":              "field c",
+		"/* i=9b1f03aa5c7e2d41,d=1 */ SELECT 1":                  "field c is missing",
+		"/* c=lookup,d=1 */ SELECT 1":                            "field i is missing",
+		"/* c=lookup,i=9b1f03aa5c7e2d4g,d=1 */ SELECT 1":         "field i",
+		"/* c=lookup,i=9b1f03aa5c7e2d41 */ SELECT 1":             "field d is missing",
+		"/* c=lookup,i=9b1f03aa5c7e2d41,d=0 */ SELECT 1":         "field d",
+		"/* c=lookup,i=9b1f03aa5c7e2d41,d=1e99 */ SELECT 1":      "field d",
+		"/* c=lookup,i=9b1f03aa5c7e2d41,d=1,h=-1 */ SELECT 1":    "field h",
+		"/* c=lookup,i=9b1f03aa5c7e2d41,d=1,need_mb=x */ SELECT": "field need_mb",
+		"/* c=lookup,i=9b1f03aa5c7e2d41,d=1 */ ":                 "no statement",
+	} {
+		_, err := parseQuery([]byte(in), names())
+		assert.ErrorContains(t, err, want, in)
+	}
+}
+
+func TestTableGroup(t *testing.T) {
+	for q, want := range map[string]int{
+		"SELECT day FROM sales_17.orders WHERE tag = '3f9c'":                 17,
+		"SELECT 'FROM sales_1.x' FROM sales_2.orders":                        2,
+		`SELECT "it''s \" FROM sales_1.x" FROM sales_2.orders`:               2,
+		"SELECT 'a''b FROM sales_1.x' FROM sales_2.orders":                   2,
+		"SELECT /* FROM sales_1.x */ 1 FROM sales_2.orders":                  2,
+		"SELECT 1 -- FROM sales_1.x\nFROM sales_2.orders":                    2,
+		"SELECT 1 # FROM sales_1.x\nFROM sales_2.orders":                     2,
+		"INSERT INTO `field_pass_9`.`rows` SELECT * FROM staging.load_5":     9,
+		"INSERT INTO staging.load_5 SELECT * FROM field_9.rows":              9,
+		"SELECT * FROM staging_4.x JOIN sales_3 . orders":                    3,
+		"SELECT o_1.day, count(*) FROM sales_17.orders o_1 GROUP BY o_1.day": 17,
+		"update fuel_8.tanks SET a = 1":                                      8,
+		"REPLACE fuel_8.tanks VALUES (1)":                                    8,
+		"SELECT 1":                                                           -1,
+		"SELECT a FROM orders_17":                                            -1,
+		"SELECT a FROM sales.orders_17":                                      -1,
+		"SELECT a FROM sales_x.orders":                                       -1,
+		"SELECT a FROM sales_99999999999.order":                              -1,
+		"SELECT 'open FROM sales_1.x":                                        -1,
+		"SELECT `open":                                                       -1,
+		"":                                                                   -1,
+	} {
+		assert.Equal(t, want, tableGroup([]byte(q)), q)
+	}
+}
+
+func FuzzParseQuery(f *testing.F) {
+	f.Add("/* c=report,i=9b1f03aa5c7e2d41,d=1500 */ SELECT `a`.b FROM sales_17.orders WHERE x='\\'' -- y")
+	f.Add("/**/ /* x */ # z")
+	f.Fuzz(func(t *testing.T, in string) {
+		r, err := parseQuery([]byte(in), names())
+		if err != nil {
+			return
+		}
+		require.Len(t, r.ID, 16)
+		require.Positive(t, r.Left)
+		require.NotEmpty(t, r.Statement)
+		require.GreaterOrEqual(t, r.Group, -1)
+		require.Contains(t, in, string(r.Statement))
+	})
+}
+
+const hello = "\x08\x82\x08\x00\x00\x00\x00\x01\x2d\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00" +
+	"app\x00\x00bi\x00mysql_native_password\x00"
+
+func TestParseLogin(t *testing.T) {
+	l, err := parseLogin([]byte(hello))
+	require.NoError(t, err)
+	assert.Equal(t, []string{"app", "", "bi"}, []string{string(l.user), string(l.auth), string(l.db)})
+	l, err = parseLogin([]byte(hello[:36] + "\x04abcdbi"))
+	require.NoError(t, err)
+	assert.Equal(t, []string{"abcd", "bi"}, []string{string(l.auth), string(l.db)})
+	for name, in := range map[string]string{
+		"empty": "", "short": hello[:20], "no end of the user": hello[:34], "password cut": hello[:36] + "\x14abc",
+		"old protocol": "\x08\x80\x08\x00" + hello[4:], "encryption": "\x08\x8a\x08\x00" + hello[4:],
+	} {
+		_, err := parseLogin([]byte(in))
+		assert.Error(t, err, name)
+	}
+}
+
+func FuzzParseLogin(f *testing.F) {
+	f.Add([]byte(hello))
+	f.Fuzz(func(t *testing.T, in []byte) {
+		l, err := parseLogin(in)
+		if err == nil {
+			require.LessOrEqual(t, len(l.user)+len(l.auth)+len(l.db), len(in))
+		}
+	})
+}
+
+func TestAppendResult(t *testing.T) {
+	long := strings.Repeat("x", 70000)
+	seq := byte(1)
+	b, err := appendResult(nil, &seq, []byte(long+"\tb\t\n"))
+	require.NoError(t, err)
+	var rows []string
+	for n := byte(1); len(b) > 0; n++ {
+		size := int(b[0]) | int(b[1])<<8 | int(b[2])<<16
+		require.Equal(t, n, b[3], "sequence")
+		rows, b = append(rows, string(b[4:4+size])), b[4+size:]
+	}
+	require.Len(t, rows, 1+3+1+1+1)
+	assert.Equal(t, "\xfd\x70\x11\x01"+long+"\x01b\x00", rows[5])
+	assert.Equal(t, "\xfe", rows[6][:1])
+	for _, in := range []string{"a\tb\tc", "a\tb\n", "a\tb\tc\td\n", "\n"} {
+		_, err := appendResult(nil, &seq, []byte(in))
+		assert.Error(t, err, in)
+	}
+}
--- a/internal/mysql/server.go
+++ b/internal/mysql/server.go
@@ -36,7 +36,7 @@
 
 // The bounds of a session.
 const (
-	maxPacket   = 1 << 20
+	maxPacket   = 256 << 10
 	packetWait  = 5 * time.Second // for the rest of a packet that has begun
 	writeWait   = 5 * time.Second
 	sessionIdle = 10 * time.Second // clients close after 4 s; only a silent peer stays longer
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -4,6 +4,7 @@
 
 import (
 	"log/slog"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -22,6 +23,11 @@
 	CloseIdle(engine uint32)
 }
 
+// Controller decides; admission.Controller is the one that serves.
+type Controller interface {
+	Step(now time.Duration, events []admission.Event) []admission.Action
+}
+
 // answerMargin is how long before the client stops waiting the final answer goes out at the latest.
 const answerMargin = 15 * time.Millisecond
 
@@ -57,7 +63,7 @@
 
 // Planner feeds one controller.
 type Planner struct {
-	ctl      *admission.Controller
+	ctl      Controller
 	classes  []admission.Class
 	engines  Engines
 	counters *invariant.Counters
@@ -75,7 +81,7 @@
 }
 
 // New returns a planner for a controller with those classes.
-func New(ctl *admission.Controller, classes []admission.Class, counters *invariant.Counters, log *slog.Logger) *Planner {
+func New(ctl Controller, classes []admission.Class, counters *invariant.Counters, log *slog.Logger) *Planner {
 	now := time.Now()
 	return &Planner{
 		ctl: ctl, classes: classes, counters: counters, log: log, start: now,
@@ -146,11 +152,25 @@
 			p.batch = append(p.batch, ev)
 		}
 	}
-	for _, a := range p.ctl.Step(p.clock(), p.batch) {
+	for _, a := range p.decide() {
 		p.do(a)
 	}
 }
 
+// decide steps the controller. Guards against a fault in it: a release build goes on without this step's
+// actions, and what the step was about is answered at its deadline.
+func (p *Planner) decide() (acts []admission.Action) {
+	done := false
+	defer func() {
+		if !done && !p.counters.Hold(false, "controller_panic") {
+			p.log.Error("controller panic", "cause", recover(), "stack", string(debug.Stack()))
+		}
+	}()
+	acts = p.ctl.Step(p.clock(), p.batch)
+	done = true
+	return acts
+}
+
 // event turns an input into the controller's event; nil when there is nothing to tell.
 func (p *Planner) event(in *input) admission.Event {
 	switch in.kind {
