--- a/internal/engine/fleet.go
+++ b/internal/engine/fleet.go
@@ -67,7 +67,7 @@
 		old := f.peers[e.ID]
 		// An address may pass from an engine that is gone to a new one, and a process may have started again:
 		// connections belong to one engine and one start of it.
-		if old == nil || old.ended || (e.Addr != "" && old.addr != e.Addr) || (e.Started > 0 && old.started != e.Started) {
+		if old == nil || (e.Addr != "" && old.addr != e.Addr) || (e.Started > 0 && old.started != e.Started) {
 			if old != nil {
 				old.end()
 			}
@@ -76,13 +76,15 @@
 		}
 		old.setReady(e.State == admission.Ready)
 		if e.State == admission.Removed {
-			old.closeIdle()
+			old.end()
+			delete(f.peers, e.ID)
 		}
 	}
 	if l.Complete {
 		for id, p := range f.peers {
 			if !seen[id] {
 				p.end()
+				delete(f.peers, id)
 			}
 		}
 	}
