--- a/cmd/beechcart/main.go
+++ b/cmd/beechcart/main.go
@@ -60,7 +60,7 @@
 	plan := planner.New(ctl, cfg.Admission.Classes, counters, log)
 	fleet := engine.New(engine.Options{
 		ConnectTimeout: cfg.ConnectTimeout, ConnIdle: cfg.ConnIdle, Sockets: cfg.Sockets / 2,
-		Counters: counters, Log: log,
+		Counters: counters,
 	}, plan)
 	front, err := mysql.New(mysql.Options{
 		Names: cfg.Names, Sessions: cfg.Sockets * 2 / 5, Counters: counters, Log: log,
@@ -69,6 +69,7 @@
 		return err
 	}
 	for _, l := range known {
+		logList(log, l)
 		plan.Members(l)
 	}
 	stop := make(chan struct{})
@@ -104,14 +105,19 @@
 	return netpoll.Configure(netpoll.Config{PollerNum: 1})
 }
 
+// logList names the engines of an event, with the numbers that the controller knows them by.
+func logList(log *slog.Logger, l roster.List) {
+	for _, e := range l.Engines {
+		log.Info("engine listed", "engine", e.Name, "id", e.ID, "state", e.State.String(), "address", e.Addr)
+	}
+}
+
 // follow keeps the engine list up to date.
 func follow(ctx context.Context, cfg *settings.Config, f *engine.Fleet, changes *roster.Log, p *planner.Planner, log *slog.Logger) {
 	f.Changes(ctx, cfg.ChangeLog, changes.Seq(), func(text []byte) (int64, error) {
 		lists, err := changes.Read(text)
 		for _, l := range lists {
-			for _, e := range l.Engines {
-				log.Info("engine listed", "engine", e.Name, "state", e.State.String(), "address", e.Addr)
-			}
+			logList(log, l)
 			p.Members(l)
 		}
 		return changes.Seq(), err
--- a/internal/engine/fleet.go
+++ b/internal/engine/fleet.go
@@ -4,7 +4,6 @@
 
 import (
 	"errors"
-	"log/slog"
 	"sync"
 	"syscall"
 	"time"
@@ -29,7 +28,6 @@
 	ConnIdle       time.Duration // engines close connections idle for so long
 	Sockets        int           // connections in all, the reserve included
 	Counters       *invariant.Counters
-	Log            *slog.Logger
 }
 
 // Fleet is the engines that the list has named, and what is out on them.
@@ -71,7 +69,7 @@
 			if old != nil {
 				old.end()
 			}
-			old = &peer{fleet: f, id: e.ID, addr: e.Addr, started: e.Started}
+			old = &peer{fleet: f, addr: e.Addr, started: e.Started}
 			f.peers[e.ID] = old
 		}
 		old.setReady(e.State == admission.Ready)
@@ -165,7 +163,6 @@
 // peer is one start of one engine.
 type peer struct {
 	fleet   *Fleet
-	id      uint32
 	addr    string
 	started time.Duration
 
--- a/internal/mysql/packet.go
+++ b/internal/mysql/packet.go
@@ -105,10 +105,9 @@
 
 // login is what a client says of itself.
 type login struct {
-	caps       uint32
-	user, db   []byte
-	auth       []byte
-	maxPackets uint32
+	caps     uint32
+	user, db []byte
+	auth     []byte
 }
 
 // parseLogin reads a HandshakeResponse41. The slices point into p.
@@ -125,7 +124,6 @@
 	if len(p) < 32 {
 		return l, errShort
 	}
-	l.maxPackets = binary.LittleEndian.Uint32(p[4:])
 	var ok bool
 	if l.user, p, ok = bytes.Cut(p[32:], []byte{0}); !ok {
 		return l, errShort
--- a/internal/mysql/parse_test.go
+++ b/internal/mysql/parse_test.go
@@ -44,6 +44,19 @@
 	}
 }
 
+func TestParseKill(t *testing.T) {
+	for q, want := range map[string]bool{
+		"KILL QUERY 17": true, " kill  query 17 ; ": true, "KILL 17": false, "KILL QUERY": false, "KILL QUERY x": false,
+		"KILL QUERY 4294967296": false, "/* KILL QUERY 17 */": false, "": false, "KILL QUERY 17" + strings.Repeat(" ", 64): false,
+	} {
+		id, ok := parseKill([]byte(q))
+		assert.Equal(t, want, ok, q)
+		if ok {
+			assert.EqualValues(t, 17, id, q)
+		}
+	}
+}
+
 func TestTableGroup(t *testing.T) {
 	for q, want := range map[string]int{
 		"SELECT day FROM sales_17.orders WHERE tag = '3f9c'":                 17,
--- a/internal/mysql/server.go
+++ b/internal/mysql/server.go
@@ -7,8 +7,6 @@
 	"context"
 	"fmt"
 	"log/slog"
-	"regexp"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -294,14 +292,11 @@
 	return s.ok()
 }
 
-var killQuery = regexp.MustCompile(`(?i)^\s*KILL\s+(?:QUERY\s+)?(\d+)\s*;?\s*$`)
-
 // query serves one COM_QUERY: the answer is written here, by the session's own goroutine.
 func (s *session) query(q []byte) bool {
 	arrived := time.Now()
-	if m := killQuery.FindSubmatch(q); m != nil {
-		id, err := strconv.ParseUint(string(m[1]), 10, 32)
-		if err != nil || !s.srv.kill(uint32(id)) {
+	if id, ok := parseKill(q); ok {
+		if !s.srv.kill(id) {
 			return s.fail(codeUnknownThread, "HY000", "Unknown thread id")
 		}
 		return s.ok()
@@ -331,7 +326,8 @@
 	case exchange.Served:
 		size := 256 + len(a.Rows) + bytes.Count(a.Rows, []byte{'\n'})*(4+columns)
 		b, err := appendResult(make([]byte, 0, size), &s.seq, a.Rows)
-		if !s.srv.opt.Counters.Hold(err == nil, "result_malformed") {
+		if err != nil { // the engine's fault
+			s.srv.opt.Counters.Add("result_malformed", 1)
 			return s.fail(codeFailed, "HY000", "the result was malformed")
 		}
 		return s.write(b) == nil
--- a/internal/mysql/statement.go
+++ b/internal/mysql/statement.go
@@ -51,6 +51,20 @@
 	return r, nil
 }
 
+// parseKill reads KILL QUERY with the id of a session; ok is false for any other statement.
+func parseKill(q []byte) (id uint32, ok bool) {
+	const most = 64 // it is short
+	if len(q) > most {
+		return 0, false
+	}
+	words := bytes.Fields(bytes.TrimRight(q, "; \t\r\n"))
+	if len(words) != 3 || !bytes.EqualFold(words[0], []byte("KILL")) || !bytes.EqualFold(words[1], []byte("QUERY")) {
+		return 0, false
+	}
+	n, err := strconv.ParseUint(string(words[2]), 10, 32)
+	return uint32(n), err == nil
+}
+
 func setField(r *exchange.Request, name string, value []byte, names settings.Names) error {
 	bad := func() error { return fmt.Errorf("field %s: %.40q can't be used", name, value) }
 	number := func(most float64) (float64, bool) {
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -66,6 +66,9 @@
 func TestNoRefusalOfAnUnsafeRequestInDoubt(t *testing.T) {
 	x := request(time.Hour)
 	p, _, c := newPlanner(func(ev []admission.Event) []admission.Action {
+		if r, ok := ev[0].(admission.Request); ok {
+			assert.Less(t, r.Left, x.Left-answerMargin/2, "the answer needs some of the time itself")
+		}
 		if _, ok := ev[0].(admission.Outcome); ok {
 			return []admission.Action{admission.Refuse{ID: "a"}}
 		}
