--- a/cmd/beechcart/helper_test.go
+++ b/cmd/beechcart/helper_test.go
@@ -87,10 +87,7 @@
 	r := &rig{t: t, log: &lockedBuffer{}, exit: make(chan error, 1)}
 	feed := httptest.NewServer(http.HandlerFunc(r.changes))
 	t.Cleanup(feed.Close)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	r.addr = l.Addr().String()
-	require.NoError(t, l.Close())
+	r.addr = "127.0.0.1:0" // the machine chooses a port that nobody has; the log tells which
 	var list []string
 	for _, e := range engines {
 		list = append(list, e.entry("ready", 0))
@@ -106,13 +103,9 @@
 			t.Log(r.log.String())
 		}
 	})
-	require.Eventually(t, func() bool {
-		c, err := net.Dial("tcp", r.addr)
-		if err == nil {
-			c.Close()
-		}
-		return err == nil
-	}, 10*time.Second, 5*time.Millisecond, "the program does not listen")
+	r.says("msg=listening")
+	_, rest, _ := strings.Cut(r.log.String(), "msg=listening node=n0 address=")
+	r.addr, _, _ = strings.Cut(rest, "\n")
 	c := r.dial()
 	c.send(0, "\x0e")
 	require.Zero(t, c.read().code)
