Reread the configuration on SIGHUP and move the change log's poll

Checked: main registered SIGTERM and SIGINT only (cmd/beechcart/main.go, run), so Go's default ended the process; no panic in the log. follow() had its address fixed for life, and Changes blocked in receive for up to 1.5 s after its context had ended (internal/engine/changelog.go). Now: signals are registered before the configuration is read; a reload reads the file, drops the poll in hand and polls the new address from the last event held; a bad file is one log line.

--- a/cmd/beechcart/helper_test.go
+++ b/cmd/beechcart/helper_test.go
@@ -59,6 +59,8 @@
 	log  *lockedBuffer
 	exit chan error
 
+	config, path string // as written last, and where
+
 	mu     sync.Mutex
 	events []string
 	polls  int
@@ -85,8 +87,7 @@
 // start runs the program with those engines in its list, and waits until it answers a ping.
 func start(t *testing.T, engines ...*engine) *rig {
 	r := &rig{t: t, log: &lockedBuffer{}, exit: make(chan error, 1)}
-	feed := httptest.NewServer(http.HandlerFunc(r.changes))
-	t.Cleanup(feed.Close)
+	feed := serve(t, r.changes)
 	r.addr = "127.0.0.1:0" // the machine chooses a port that nobody has; the log tells which
 	var list []string
 	for _, e := range engines {
@@ -95,7 +96,7 @@
 	r.tell(list...)
 	config := fmt.Sprintf(`{"name":"n0","listen":%q,"seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":192,
 		"sockets":1024},"changelog":%q,"known":{"seq":1,"results":[%s]},"settings":%s}`,
-		r.addr, strings.TrimPrefix(feed.URL, "http://"), r.events[0], facts)
+		r.addr, feed, r.events[0], facts)
 	r.run(config)
 	t.Cleanup(func() {
 		_ = r.cmd.Process.Kill()
@@ -112,11 +113,26 @@
 	return r
 }
 
+// serve answers HTTP at the address that it returns.
+func serve(t *testing.T, h http.HandlerFunc) string {
+	s := httptest.NewServer(h)
+	t.Cleanup(func() {
+		s.CloseClientConnections()
+		s.Close()
+	})
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+func (r *rig) write(config string) {
+	r.config = config
+	require.NoError(r.t, os.WriteFile(r.path, []byte(config), 0o600))
+}
+
 func (r *rig) run(config string) {
-	path := filepath.Join(r.t.TempDir(), "config.json")
-	require.NoError(r.t, os.WriteFile(path, []byte(config), 0o600))
+	r.path = filepath.Join(r.t.TempDir(), "config.json")
+	r.write(config)
 	r.cmd = exec.Command(program)
-	r.cmd.Env = append(os.Environ(), "PROXY_CONFIG="+path, "PROXY_LISTEN="+r.addr)
+	r.cmd.Env = append(os.Environ(), "PROXY_CONFIG="+r.path, "PROXY_LISTEN="+r.addr)
 	r.cmd.Stdout, r.cmd.Stderr = r.log, r.log
 	require.NoError(r.t, r.cmd.Start())
 	go func() { r.exit <- r.cmd.Wait() }()
--- a/cmd/beechcart/main.go
+++ b/cmd/beechcart/main.go
@@ -37,6 +37,8 @@
 }
 
 func run() error {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	cfg, err := settings.Load(os.Getenv("PROXY_CONFIG"), os.Getenv)
 	if err != nil {
 		return err
@@ -77,18 +79,23 @@
 	go plan.Run(fleet, stop)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	go follow(ctx, cfg, fleet, changes, plan, log)
+	list := &feed{ctx: ctx, fleet: fleet, changes: changes, plan: plan, log: log}
+	list.follow(cfg.ChangeLog)
 	go report(ctx, fleet, counters, log)
 
-	term := make(chan os.Signal, 1)
-	signal.Notify(term, syscall.SIGTERM, syscall.SIGINT)
 	served := make(chan error, 1)
 	go func() { served <- front.Serve(cfg.Listen) }()
-	select {
-	case err := <-served:
-		return err
-	case sig := <-term:
-		log.Info("stopping", "signal", sig.String())
+	for stopping := false; !stopping; {
+		select {
+		case err := <-served:
+			return err
+		case sig := <-signals:
+			if stopping = sig != syscall.SIGHUP; !stopping {
+				list.reload()
+				continue
+			}
+			log.Info("stopping", "signal", sig.String())
+		}
 	}
 	time.Sleep(lameDuck)
 	if err := front.Shutdown(ctx); err != nil {
@@ -112,22 +119,63 @@
 	}
 }
 
-// follow keeps the engine list up to date.
-func follow(ctx context.Context, cfg *settings.Config, f *engine.Fleet, changes *roster.Log, p *planner.Planner, log *slog.Logger) {
-	f.Changes(ctx, cfg.ChangeLog, changes.Seq(), func(text []byte) (int64, error) {
-		lists, err := changes.Read(text)
-		for _, l := range lists {
-			logList(log, l)
-			p.Members(l)
-		}
-		return changes.Seq(), err
-	}, func(err error) {
-		if err != nil {
-			log.Warn("change log lost", "error", err)
-		} else {
-			log.Info("change log back")
-		}
-	})
+// feed keeps the engine list up to date, from one change log at a time.
+type feed struct {
+	ctx     context.Context
+	fleet   *engine.Fleet
+	changes *roster.Log
+	plan    *planner.Planner
+	log     *slog.Logger
+
+	lost  bool // polls fail
+	leave context.CancelFunc
+	left  chan struct{} // closed when the address in hand is polled no more
+}
+
+// follow moves to the change log at that address at once. The number of the last event is kept.
+func (d *feed) follow(addr string) {
+	if d.leave != nil {
+		d.leave()
+		<-d.left
+	}
+	ctx, leave := context.WithCancel(d.ctx)
+	left := make(chan struct{})
+	d.leave, d.left = leave, left
+	go func() {
+		defer close(left)
+		d.fleet.Changes(ctx, addr, d.changes.Seq(), d.take, d.state)
+	}()
+}
+
+func (d *feed) take(text []byte) (int64, error) {
+	lists, err := d.changes.Read(text)
+	for _, l := range lists {
+		logList(d.log, l)
+		d.plan.Members(l)
+	}
+	return d.changes.Seq(), err
+}
+
+func (d *feed) state(err error) {
+	switch {
+	case err != nil && !d.lost:
+		d.log.Warn("change log lost", "error", err)
+	case err == nil && d.lost:
+		d.log.Info("change log back")
+	}
+	d.lost = err != nil
+}
+
+// reload reads the configuration again. Guards against a file that is bad or half written: what was in force
+// stays. The address of the change log is all that can change while the program runs.
+func (d *feed) reload() {
+	cfg, err := settings.Load(os.Getenv("PROXY_CONFIG"), os.Getenv)
+	if err != nil {
+		d.log.Error("reload failed", "error", err)
+		return
+	}
+	d.log.Info("reloaded", "changelog", cfg.ChangeLog)
+	d.follow(cfg.ChangeLog)
 }
 
 // report logs the counters now and then, and closes what has been idle for too long.
--- a/cmd/beechcart/main_test.go
+++ b/cmd/beechcart/main_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"regexp"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -215,6 +217,42 @@
 	r.says("change log back")
 }
 
+func TestReloadMovesTheChangeLogAtOnce(t *testing.T) {
+	e := newEngine(t, nil)
+	r := start(t, e)
+	var old, next, firstSince atomic.Int64
+	var dropped atomic.Bool
+	silent := serve(t, func(w http.ResponseWriter, q *http.Request) { // a log that has moved tells nothing more
+		old.Add(1)
+		<-q.Context().Done()
+		dropped.Store(true)
+	})
+	moved := serve(t, func(w http.ResponseWriter, q *http.Request) {
+		if next.Add(1) == 1 {
+			n, _ := strconv.ParseInt(q.URL.Query().Get("since"), 10, 64)
+			firstSince.Store(n)
+		}
+		r.changes(w, q)
+	})
+	reload := func(config, says string) {
+		r.write(config)
+		require.NoError(t, r.cmd.Process.Signal(syscall.SIGHUP))
+		r.says(says)
+	}
+	good := r.config
+	reload(good[:len(good)/2], "reload failed")
+	reload(regexp.MustCompile(`"changelog":"[^"]*"`).ReplaceAllString(good, `"changelog":"`+silent+`"`), "changelog="+silent)
+	require.Eventually(t, func() bool { return old.Load() == 1 }, 10*time.Second, time.Millisecond)
+	reload(strings.Replace(r.config, silent, moved, 1), "changelog="+moved)
+	require.Eventually(t, func() bool { return dropped.Load() && next.Load() > 0 }, 10*time.Second, time.Millisecond)
+	assert.EqualValues(t, 1, firstSince.Load(), "the number of the last event is kept")
+	assert.EqualValues(t, 1, old.Load())
+	assert.NotContains(t, r.log.String(), "change log lost", "a poll that was dropped on purpose is no loss")
+	r.tell(e.entry("draining", 0))
+	r.says("state=draining")
+	assert.Contains(t, harmless, r.dial().query("lookup", 2500).code)
+}
+
 func TestANewEngineOnAnOldAddressGetsNewConnections(t *testing.T) {
 	e := newEngine(t, nil)
 	r := start(t, e)
--- a/internal/engine/changelog.go
+++ b/internal/engine/changelog.go
@@ -15,58 +15,57 @@
 )
 
 // Changes polls the change log at addr until ctx ends, and hands each answer to take, which returns the number
-// of the last event held. A lost connection is opened anew, for as long as it takes; state is told of each
-// change from well (nil) to lost and back.
+// of the last event held. A lost connection is opened anew, for as long as it takes; state is told how each poll
+// went. The end of ctx drops the poll in hand at once: guards against hanging on an address that a new
+// configuration has replaced, and that tells nothing more.
 func (f *Fleet) Changes(ctx context.Context, addr string, since int64, take func([]byte) (int64, error), state func(error)) {
-	var c *conn
-	var lost error
 	for ctx.Err() == nil {
-		var err error
-		if c == nil {
-			c, err = f.socks.dial(addr, f.opt.ConnectTimeout, true)
-		}
-		if err == nil {
-			since, err = f.changes(c, addr, since, take)
-		}
-		if (err == nil) != (lost == nil) {
-			state(err)
-		}
-		if lost = err; err == nil {
-			continue
-		}
-		if c != nil {
-			c.close()
-			c = nil
+		err := f.follow(ctx, addr, &since, take, state)
+		if ctx.Err() != nil {
+			return
 		}
+		state(err)
 		select {
 		case <-ctx.Done():
 		case <-time.After(changesPause):
 		}
 	}
-	if c != nil {
-		c.close()
+}
+
+// follow polls on one connection until that fails.
+func (f *Fleet) follow(ctx context.Context, addr string, since *int64, take func([]byte) (int64, error), state func(error)) error {
+	c, err := f.socks.dial(addr, f.opt.ConnectTimeout, true)
+	if err != nil {
+		return err
+	}
+	defer c.close()
+	defer context.AfterFunc(ctx, c.close)()
+	for {
+		if err := f.changes(c, addr, since, take); err != nil {
+			return err
+		}
+		state(nil)
 	}
 }
 
-func (f *Fleet) changes(c *conn, addr string, since int64, take func([]byte) (int64, error)) (int64, error) {
-	c.begin("GET", "/changes?since="+strconv.FormatInt(since, 10)+
+func (f *Fleet) changes(c *conn, addr string, since *int64, take func([]byte) (int64, error)) error {
+	c.begin("GET", "/changes?since="+strconv.FormatInt(*since, 10)+
 		"&timeout="+strconv.FormatInt(changesWait.Milliseconds(), 10), addr)
 	if err := c.send(nil); err != nil {
-		return since, err
+		return err
 	}
 	r, n, err := c.receive(time.Now().Add(changesWait + changesSlack))
 	if err != nil {
-		return since, err
+		return err
 	}
 	if r.code != 200 {
-		return since, fmt.Errorf("change log: status %d", r.code)
+		return fmt.Errorf("change log: status %d", r.code)
 	}
-	last, err := take(r.body)
-	if err != nil {
-		return since, err
+	if *since, err = take(r.body); err != nil {
+		return err
 	}
 	if r.close {
-		return last, fmt.Errorf("change log: connection closed")
+		return fmt.Errorf("change log: connection closed")
 	}
-	return last, c.done(n)
+	return c.done(n)
 }
