Bound silent and flooding sessions, check each field, and answer all before the kill

Checked: tests first, each failed before: silent, unlogged and half-sent sessions over 4 s; a flood behind an open request was read without end, since netpoll keeps the descriptor until the callback ends; newcomers at the bound were refused while idle ones stayed; unknown tenants, +900, doubled fields were passed on; KILL took serial ids. An id that had been served with another statement was sent on, to an engine that may still hold the old answer. The module now hears Stopping, caps waits by it and calls back what may be repeated.

--- a/Makefile
+++ b/Makefile
@@ -17,6 +17,7 @@
 	go test -run '^$$' -fuzz '^FuzzParse$$' -fuzztime 20s ./internal/engine
 	go test -run '^$$' -fuzz '^FuzzParseQuery$$' -fuzztime 20s ./internal/mysql
 	go test -run '^$$' -fuzz '^FuzzParseLogin$$' -fuzztime 20s ./internal/mysql
+	go test -run '^$$' -fuzz '^FuzzParse$$' -fuzztime 20s ./internal/figure
 	go test -run '^$$' -fuzz '^FuzzRead$$' -fuzztime 20s ./internal/roster
 
 # make run CONFIG=path/to/config.json
--- a/admission/api.go
+++ b/admission/api.go
@@ -192,7 +192,7 @@
 	Waiting  NoteKind = 3
 )
 
-// Event is something that happened: Members, Request, First, Outcome, Gone, Timer, Probed, Peer or Note.
+// Event is something that happened: Members, Request, First, Outcome, Gone, Timer, Probed, Peer, Note or Stopping.
 type Event interface{ event() }
 
 type (
@@ -255,17 +255,20 @@
 		Kind    NoteKind
 		Value   float64
 	}
+	// Stopping tells that the gateway ends after that time, and that requests keep coming meanwhile.
+	Stopping struct{ Left time.Duration }
 )
 
-func (Members) event() {}
-func (Request) event() {}
-func (First) event()   {}
-func (Outcome) event() {}
-func (Gone) event()    {}
-func (Timer) event()   {}
-func (Probed) event()  {}
-func (Peer) event()    {}
-func (Note) event()    {}
+func (Members) event()  {}
+func (Request) event()  {}
+func (First) event()    {}
+func (Outcome) event()  {}
+func (Gone) event()     {}
+func (Timer) event()    {}
+func (Probed) event()   {}
+func (Peer) event()     {}
+func (Note) event()     {}
+func (Stopping) event() {}
 
 // Action is something to do: Send, Terms, Refuse, Fail, Cancel, Probe, CloseIdle, Tell, SetTimer, Watch,
 // Fetch or Log.
--- a/admission/controller.go
+++ b/admission/controller.go
@@ -77,6 +77,7 @@
 	fixAfter    = 5                      // answers before it is used
 	spareTokens = 3.0                    // reserve of a tenant beyond two seconds of its rate, for chance
 	rateFade    = 15 * time.Second       // own arrivals are smoothed over so long: longer than most bursts
+	stopMargin  = 600 * time.Millisecond // before the gateway's end: for cancels to be proved
 	lookAhead   = 8                      // requests of one list looked at behind one that has no room
 	queueFactor = 12                     // queue depth per own thread, of at least queueLeast
 	queueLeast  = 32
@@ -129,7 +130,7 @@
 		return
 	}
 	cl, k := &c.set.Classes[ev.Class], &c.classes[ev.Class]
-	r := &request{Request: ev, cls: cl, arrived: c.now, due: c.now + ev.Left}
+	r := &request{Request: ev, cls: cl, arrived: c.now, due: c.dueBy(c.now + ev.Left)}
 	if c.set.Budgeted {
 		c.takenAt = append(c.takenAt, c.now)
 	}
@@ -169,6 +170,38 @@
 	}
 }
 
+// stop caps all waits by the gateway's end: what can't be served before is refused while its client has time
+// to ask another gateway (fits), and what may be repeated is called back shortly before (callBack).
+func (c *Controller) stop(ev Stopping) {
+	c.stopAt = c.now + ev.Left
+	for _, r := range c.open {
+		r.due = c.dueBy(r.due)
+	}
+}
+
+func (c *Controller) dueBy(due time.Duration) time.Duration {
+	if c.stopAt > 0 {
+		due = min(due, c.stopAt)
+	}
+	return due
+}
+
+// ending tells that the gateway is about to end: what ends without an answer now goes to another gateway.
+func (c *Controller) ending() bool { return c.stopAt > 0 && c.now >= c.stopAt-stopMargin }
+
+// callBack ends what is out and may be repeated elsewhere, once the gateway is about to end: else its clients
+// would wait out their time for an answer that never comes.
+func (c *Controller) callBack() {
+	if !c.ending() {
+		return
+	}
+	for _, r := range c.open {
+		if r.cls.Effect == Safe && !r.streaming {
+			c.recall(r)
+		}
+	}
+}
+
 // beyondShare meters a tenant against this gateway's part of its allowance.
 func (c *Controller) beyondShare(r *request) bool {
 	if r.Tenant >= len(c.set.Tenants) || c.set.Tenants[r.Tenant].AllowPerS <= 0 {
@@ -664,7 +697,7 @@
 	case r.done:
 		c.forget(r)
 	case r.out > 0:
-	case r.streaming || !c.fits(r, 1) || len(r.tries) >= c.set.MaxAttempts || !c.mayRepeat(r):
+	case r.streaming || c.ending() || !c.fits(r, 1) || len(r.tries) >= c.set.MaxAttempts || !c.mayRepeat(r):
 		c.giveUp(r)
 	default:
 		c.enqueue(r, true)
@@ -945,6 +978,7 @@
 	for _, e := range c.engines {
 		c.watch(e)
 	}
+	c.callBack()
 	for key, k := range c.keys { // order does not reach an action
 		if len(k.line) == 0 && c.now >= k.rest {
 			delete(c.keys, key)
--- a/admission/further_test.go
+++ b/admission/further_test.go
@@ -318,3 +318,52 @@
 		t.Errorf("%v and %v threads are still held", b.c.running, b.c.smallRun)
 	}
 }
+
+// TestResetsOfConnectionsAreNoStrikes: resets of single connections, after which the engine answered, ejected
+// engines that were well on a day with many.
+func TestResetsOfConnectionsAreNoStrikes(t *testing.T) {
+	for _, alive := range []bool{true, false} {
+		b := start(t, base(), engines(1))
+		for i := range resets {
+			id := fmt.Sprint("r", i)
+			b.step(Request{ID: id, Left: 4 * sec, Group: -1, Work: 50 * ms})
+			b.step(Outcome{ID: id, Engine: 1, Status: Reset, Alive: alive})
+			b.step(Gone{ID: id})
+		}
+		if e := b.c.engines[0]; alive != (e.strikes == 0) {
+			t.Fatalf("alive %v: %d strikes", alive, e.strikes)
+		}
+	}
+}
+
+// TestStopping: requests that were open as the process was killed got no answer at all.
+func TestStopping(t *testing.T) {
+	s := base()
+	s.MayCancel = true
+	s.Classes = append(s.Classes, Class{Aim: 2 * sec, Deadline: 20 * sec, Worth: 8, Threads: 2, Effect: Unsafe})
+	b := start(t, s, engines(2))
+	ask := func(id string, class int, work time.Duration) Request {
+		return Request{ID: id, Class: class, Left: 20 * sec, Group: -1, Work: work}
+	}
+	one[Send](t, b.step(ask("out", 1, sec)))
+	one[Send](t, b.step(ask("unsafe", 2, sec)))
+	b.step(Stopping{Left: 3 * sec})
+	one[Send](t, b.step(ask("short", 0, 50*ms)))
+	if r := one[Refuse](t, b.step(ask("long", 1, 60*sec))); r.ID != "long" {
+		t.Fatalf("refused %s", r.ID)
+	}
+	for _, a := range pick[Cancel](b.pass(3*sec - stopMargin - wake)) {
+		t.Fatalf("%s was called back long before the end", a.ID)
+	}
+	called := map[string]bool{}
+	for _, a := range pick[Cancel](b.pass(2 * wake)) {
+		called[a.ID] = true
+	}
+	if !called["out"] || called["unsafe"] {
+		t.Fatalf("called back: %v", called)
+	}
+	e := b.c.reqs["out"].tries[0].eng.ID
+	if r := one[Refuse](t, b.step(Outcome{ID: "out", Engine: e, Status: Cancelled})); r.ID != "out" {
+		t.Fatalf("refused %s", r.ID)
+	}
+}
--- a/admission/state.go
+++ b/admission/state.go
@@ -140,6 +140,7 @@
 	promised  int     // repeats promised to what was withdrawn
 	began     bool
 	startedAt time.Duration // when this gateway started
+	stopAt    time.Duration // when it ends; 0: not for now
 	retryAt   time.Duration // when to ask discovery again
 	asked     bool
 	takenAt   []time.Duration // arrivals and further attempts within the budget's window
@@ -434,6 +435,8 @@
 		c.told(ev)
 	case Note:
 		c.note(ev)
+	case Stopping:
+		c.stop(ev)
 	}
 }
 
--- a/cmd/beechcart/helper_test.go
+++ b/cmd/beechcart/helper_test.go
@@ -85,7 +85,10 @@
 }
 
 // start runs the program with those engines in its list, and waits until it answers a ping.
-func start(t *testing.T, engines ...*engine) *rig {
+func start(t *testing.T, engines ...*engine) *rig { return startWith(t, 1024, engines...) }
+
+// startWith is start with that many descriptors.
+func startWith(t *testing.T, sockets int, engines ...*engine) *rig {
 	r := &rig{t: t, log: &lockedBuffer{}, exit: make(chan error, 1)}
 	feed := serve(t, r.changes)
 	r.addr = "127.0.0.1:0" // the machine chooses a port that nobody has; the log tells which
@@ -95,8 +98,8 @@
 	}
 	r.tell(list...)
 	config := fmt.Sprintf(`{"name":"n0","listen":%q,"seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":192,
-		"sockets":1024},"changelog":%q,"known":{"seq":1,"results":[%s]},"settings":%s}`,
-		r.addr, feed, r.events[0], facts)
+		"sockets":%d},"changelog":%q,"known":{"seq":1,"results":[%s]},"settings":%s}`,
+		r.addr, sockets, feed, r.events[0], facts)
 	r.run(config)
 	t.Cleanup(func() {
 		_ = r.cmd.Process.Kill()
--- a/cmd/beechcart/main.go
+++ b/cmd/beechcart/main.go
@@ -25,6 +25,7 @@
 
 const (
 	lameDuck    = 850 * time.Millisecond // new requests keep coming for up to 0.6 s after SIGTERM
+	stopSpare   = 150 * time.Millisecond // for the last answers to go out before the process is killed
 	reportEvery = 30 * time.Second
 )
 
@@ -95,6 +96,7 @@
 			log.Info("stopping", "signal", sig.String())
 		}
 	}
+	plan.Stop(stopWithin(cfg.Admission.Classes))
 	time.Sleep(lameDuck)
 	if err := front.Shutdown(ctx); err != nil {
 		return err
@@ -103,6 +105,16 @@
 	return nil
 }
 
+// stopWithin is how long after SIGTERM all must be answered. The platform kills the process once the longest
+// deadline, taken as 3 s at most, and 0.7 s have passed.
+func stopWithin(classes []admission.Class) time.Duration {
+	longest := time.Duration(0)
+	for _, c := range classes {
+		longest = max(longest, c.Deadline)
+	}
+	return min(longest, 3*time.Second) + 700*time.Millisecond - stopSpare
+}
+
 // fit sizes the run time to the machine that the front end has.
 func fit(cfg *settings.Config) error {
 	runtime.GOMAXPROCS(max(1, int(cfg.Cores)))
--- a/cmd/beechcart/main_test.go
+++ b/cmd/beechcart/main_test.go
@@ -152,15 +152,85 @@
 	e.waitFor(t, "DELETE", 1)
 }
 
-func TestSilentSessionsAreClosed(t *testing.T) {
-	t.Parallel()
+func TestSessionsThatAskNothingAreClosed(t *testing.T) {
+	r := start(t, newEngine(t, nil))
+	for name, in := range map[string]string{
+		"silent": "", "half a login": packet(1, login)[:30], "no query": packet(1, login),
+		"half a query": packet(1, login) + packet(0, statement("lookup", 2500))[:40],
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := r.raw()
+			_, err := io.WriteString(c.c, in)
+			require.NoError(t, err)
+			began := time.Now()
+			_, err = io.Copy(io.Discard, c.r)
+			require.NoError(t, err)
+			assert.Less(t, time.Since(began), 4*time.Second, "a close is owed within 3 s")
+		})
+	}
+}
+
+// At the bound silent peers make room, then those that have been idle for longest, and none that is at work.
+func TestSessionsOfLeastUseMakeRoom(t *testing.T) {
+	e, release := heldEngine(t)
+	r := startWith(t, 50, e)
+	asked := func() *client {
+		c := r.dial()
+		c.send(0, "\x0e")
+		require.Zero(t, c.read().code)
+		return c
+	}
+	busy, early, late := r.dial(), asked(), asked()
+	busy.send(0, statement("load", 20000))
+	e.waitFor(t, "POST", 1)
+	mute := r.raw()
+	for range 50*2/5 - 5 { // with the session that start pinged on
+		asked()
+	}
+	ended := func(c *client) bool {
+		require.NoError(t, c.c.SetReadDeadline(time.Now().Add(20*time.Millisecond)))
+		_, err := io.Copy(io.Discard, c.r)
+		return err == nil
+	}
+	asked()
+	require.Eventually(t, func() bool { return ended(mute) }, 10*time.Second, time.Millisecond)
+	assert.False(t, ended(early))
+	asked() // in place of the one that start pinged on
+	asked()
+	require.Eventually(t, func() bool { return ended(early) }, 10*time.Second, time.Millisecond)
+	assert.False(t, ended(late))
+	close(release)
+	assert.Zero(t, busy.read().code)
+}
+
+func TestInputBehindAnOpenRequestIsBounded(t *testing.T) {
+	e := newEngine(t, slow)
+	r := start(t, e)
+	c := r.dial()
+	c.send(0, statement("load", 20000))
+	e.waitFor(t, "POST", 1)
+	for {
+		if _, err := c.c.Write(make([]byte, 64<<10)); err != nil {
+			break // else until the time of the connection is over
+		}
+	}
+	e.waitFor(t, "DELETE", 1)
+	require.NoError(t, r.cmd.Process.Signal(syscall.SIGTERM))
+	r.says("sessions_flooded=1")
+}
+
+// A close with input unread resets the connection, and the error that was just written may be lost.
+func TestTheLastErrorIsNotLost(t *testing.T) {
 	r := start(t, newEngine(t, nil))
-	in, mute := r.dial(), r.raw()
-	assert.Equal(t, -1, in.read().code)
-	_, err := mute.packet() // the greeting
-	require.NoError(t, err)
-	assert.Equal(t, -1, mute.read().code)
-	r.dial()
+	for range 20 {
+		c := r.dial()
+		_, err := io.WriteString(c.c, "\xff\xff\xff\x00"+strings.Repeat("x", 256<<10))
+		require.NoError(t, err)
+		assert.Equal(t, 1153, c.read().code)
+		_, err = c.packet()
+		assert.ErrorIs(t, err, io.EOF)
+	}
 }
 
 func TestLeavingClientsEndTheirQueries(t *testing.T) {
@@ -277,6 +347,22 @@
 	assert.Contains(t, r.log.String(), "msg=stopped")
 }
 
+func TestStopsBeforeItIsKilled(t *testing.T) {
+	t.Parallel()
+	e := newEngine(t, slow)
+	r := start(t, e)
+	load, lookup := r.dial(), r.dial()
+	load.send(0, statement("load", 20000))
+	lookup.send(0, statement("lookup", 20000))
+	e.waitFor(t, "POST", 2)
+	began := time.Now()
+	require.NoError(t, r.cmd.Process.Signal(syscall.SIGTERM))
+	assert.Contains(t, harmless, lookup.read().code, "another front end can serve it")
+	assert.Equal(t, 1105, load.read().code)
+	r.says("msg=stopped")
+	assert.Less(t, time.Since(began), 3700*time.Millisecond, "the platform kills it then")
+}
+
 func TestMalformedInputEndsNothingButItsSession(t *testing.T) {
 	r := start(t, newEngine(t, nil))
 	hello := packet(1, login)
@@ -294,6 +380,10 @@
 		"unknown class":     {hello + packet(0, "\x03/* c=x,i=0000000000000001,d=1 */ SELECT 1"), 1064},
 		"id of wrong form":  {hello + packet(0, "\x03/* c=lookup,i=zz,d=1 */ SELECT 1"), 1064},
 		"no time left":      {hello + packet(0, "\x03/* c=lookup,i=0000000000000001,d=1 */ SELECT 1"), 1040},
+		"unknown tenant":    {hello + packet(0, "\x03/* c=lookup,i=0000000000000001,d=900,t=nobody */ SELECT 1"), 1064},
+		"class twice":       {hello + packet(0, "\x03/* c=load,c=lookup,i=0000000000000001,d=900 */ SELECT 1"), 1064},
+		"signed time":       {hello + packet(0, "\x03/* c=lookup,i=0000000000000001,d=+900 */ SELECT 1"), 1064},
+		"endless time":      {hello + packet(0, "\x03/* c=lookup,i=0000000000000001,d=Inf */ SELECT 1"), 1064},
 		"time is no number": {hello + packet(0, "\x03/* c=lookup,i=0000000000000001,d=NaN */ SELECT 1"), 1064},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/engine/attempt.go
+++ b/internal/engine/attempt.go
@@ -70,7 +70,7 @@
 		return admission.Moot, nil
 	}
 	defer a.hangUp()
-	r, err, status := a.post()
+	r, status, err := a.post()
 	if status != admission.OK {
 		return status, nil
 	}
@@ -99,10 +99,10 @@
 }
 
 // post sends the query; any status but OK is the end of the attempt, and it never ran.
-func (a *attempt) post() (r response, err error, status admission.Status) {
+func (a *attempt) post() (r response, status admission.Status, err error) {
 	for posts := 1; ; posts++ {
 		if status := a.connect(); status != admission.OK {
-			return r, nil, status
+			return r, status, nil
 		}
 		a.c.begin("POST", "/v2/q", a.peer.addr)
 		a.c.header("X-Txn", a.x.ID)
@@ -120,14 +120,14 @@
 		a.c.close()
 		a.fleet.opt.Counters.Add("unwritten", 1)
 		if posts == mostDials {
-			return r, nil, admission.ConnectFailed
+			return r, admission.ConnectFailed, nil
 		}
 	}
 	if err == nil {
 		r, err = a.answer(news)
 	}
 	a.onWay = err != nil && isTimeout(err)
-	return r, err, admission.OK
+	return r, admission.OK, err
 }
 
 // connect opens the connection that is to carry the POST; any status but OK is the end of the attempt.
@@ -313,7 +313,7 @@
 		return
 	}
 	var ok bool
-	if ev.Value, ok = figure(r.num); ok {
+	if ev.Value, ok = number(r.num); ok {
 		a.fleet.sink.Told(ev)
 	}
 }
@@ -389,7 +389,7 @@
 		var pair []byte
 		pair, text, _ = bytes.Cut(text, []byte(";"))
 		name, value, _ := bytes.Cut(pair, []byte(":"))
-		f, ok := figure(bytes.TrimSpace(value))
+		f, ok := number(bytes.TrimSpace(value))
 		if !ok {
 			continue
 		}
--- a/internal/engine/http.go
+++ b/internal/engine/http.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"errors"
 	"strconv"
+
+	"beechcart/internal/figure"
 )
 
 // The bounds of what an engine, or the change log, may send.
@@ -168,13 +170,13 @@
 		return fieldBatch, err
 	case is(name, "X-Spent"):
 		var ok bool
-		if r.spent, ok = figure(value); !ok {
+		if r.spent, ok = number(value); !ok {
 			err = errBad
 		}
 		return fieldSpent, err
 	case is(name, "X-Wanted"):
 		var ok bool
-		if r.wanted, ok = figure(value); !ok {
+		if r.wanted, ok = number(value); !ok {
 			err = errBad
 		}
 		return fieldWanted, err
@@ -209,13 +211,10 @@
 // mostFigure bounds the figures that engines tell: milliseconds of work, megabytes, shares.
 const mostFigure = 1e12
 
-// figure reads a decimal number that is not negative: it has no sign, is finite and is not in hex.
-func figure(text []byte) (float64, bool) {
-	if len(text) == 0 || text[0] < '0' || text[0] > '9' || bytes.ContainsAny(text, "xX_pP") {
-		return 0, false
-	}
-	f, err := strconv.ParseFloat(string(text), 64)
-	return f, err == nil && f <= mostFigure
+// number reads a figure of a size that anything here may have.
+func number(text []byte) (float64, bool) {
+	f, ok := figure.Parse(text)
+	return f, ok && f <= mostFigure
 }
 
 func is(b []byte, name string) bool { return len(b) == len(name) && bytes.EqualFold(b, []byte(name)) }
--- /dev/null
+++ b/internal/figure/figure.go
@@ -0,0 +1,17 @@
+// Package figure reads the figures that peers send, on either side.
+package figure
+
+import (
+	"bytes"
+	"strconv"
+)
+
+// Parse reads a decimal number that is not negative; false for anything else. Guards against what strconv takes
+// beyond that: signs, NaN, infinity, numbers in hex.
+func Parse(text []byte) (float64, bool) {
+	if len(text) == 0 || text[0] < '0' || text[0] > '9' || bytes.ContainsAny(text, "xX_pP") {
+		return 0, false
+	}
+	f, err := strconv.ParseFloat(string(text), 64)
+	return f, err == nil
+}
--- a/internal/mysql/parse_test.go
+++ b/internal/mysql/parse_test.go
@@ -37,6 +37,11 @@
 		"/* c=lookup,i=9b1f03aa5c7e2d41,d=1e99 */ SELECT 1":      "field d",
 		"/* c=lookup,i=9b1f03aa5c7e2d41,d=1,h=-1 */ SELECT 1":    "field h",
 		"/* c=lookup,i=9b1f03aa5c7e2d41,d=1,need_mb=x */ SELECT": "field need_mb",
+		"/* c=lookup,i=9b1f03aa5c7e2d41,d=1,h=0x10 */ SELECT 1":  "field h",
+		"/* c=lookup,i=9b1f03aa5c7e2d41,d=+1 */ SELECT 1":        "field d",
+		"/* c=lookup,i=9b1f03aa5c7e2d41,d=3600001 */ SELECT 1":   "field d",
+		"/* c=lookup,i=9b1f03aa5c7e2d41,d=1,t=x */ SELECT 1":     "field t",
+		"/* c=lookup,i=9b1f03aa5c7e2d41,d=1,d=2 */ SELECT 1":     "comes twice",
 		"/* c=lookup,i=9b1f03aa5c7e2d41,d=1 */ ":                 "no statement",
 	} {
 		_, err := parseQuery([]byte(in), names())
--- a/internal/mysql/server.go
+++ b/internal/mysql/server.go
@@ -7,8 +7,9 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"sync"
-	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cloudwego/netpoll"
@@ -32,22 +33,36 @@
 	Log      *slog.Logger
 }
 
-// The bounds of a session.
+// The bounds of a session. A client that sends nothing of use is answered or closed within 3 s.
 const (
 	maxPacket   = 256 << 10
-	packetWait  = 5 * time.Second // for the rest of a packet that has begun
+	maxBehind   = 256 << 10               // bytes that may pile up behind an open request
+	firstWait   = 2500 * time.Millisecond // from the connect to the first command
+	packetWait  = 2500 * time.Millisecond // for the rest of a packet that has begun
+	idleWait    = 5 * time.Second         // clients close after 4 s; only a silent peer stays longer
 	writeWait   = 5 * time.Second
-	sessionIdle = 10 * time.Second // clients close after 4 s; only a silent peer stays longer
-	sweepEvery  = time.Second
+	lastWait    = 500 * time.Millisecond // for the peer's close after a last error
+	lastBytes   = 1 << 20                // ... unless it sends so much before
+	sweepEvery  = 25 * time.Millisecond
 	malformedIn = 5 * time.Second // one line of malformed input in so long
 )
 
+// phase is what a session is at.
+type phase int
+
+const (
+	greeted phase = iota // no command yet: it may have logged in
+	idle                 // between commands
+	reading              // a packet has begun
+	serving              // a request is open
+	closing              // the last error has been written
+)
+
 // Server serves sessions on one listener.
 type Server struct {
 	opt   Options
 	taker Taker
 	loop  netpoll.EventLoop
-	ids   atomic.Uint32
 
 	mu       sync.Mutex
 	sessions map[uint32]*session
@@ -61,11 +76,12 @@
 	conn   netpoll.Connection
 	seq    byte
 	logged bool
+	asked  bool // it has sent a command
 
-	mu   sync.Mutex
-	open *exchange.Exchange // the request in hand
-	busy bool
-	last time.Time
+	mu    sync.Mutex
+	open  *exchange.Exchange // the request in hand
+	phase phase
+	since time.Time // when that phase began; of a session without a command: when it connected
 }
 
 type sessionKey struct{}
@@ -99,14 +115,8 @@
 func (s *Server) Shutdown(ctx context.Context) error { return s.loop.Shutdown(ctx) }
 
 func (s *Server) connect(ctx context.Context, c netpoll.Connection) context.Context {
-	ses := &session{srv: s, id: s.ids.Add(1), conn: c, last: time.Now()}
-	s.mu.Lock()
-	full := len(s.sessions) >= s.opt.Sessions
-	if !full {
-		s.sessions[ses.id] = ses
-	}
-	s.mu.Unlock()
-	if full {
+	ses := &session{srv: s, conn: c, since: time.Now()}
+	if !s.admit(ses) {
 		s.opt.Counters.Add("sessions_refused", 1)
 		seq := byte(0)
 		_ = ses.write(appendError(nil, &seq, codeRefused, "08004", "Too many connections"))
@@ -119,6 +129,53 @@
 	return context.WithValue(ctx, sessionKey{}, ses)
 }
 
+// admit enters a session. Guards against silent peers that fill the bound: the one of least use makes room.
+func (s *Server) admit(ses *session) bool {
+	s.mu.Lock()
+	var out *session
+	full := len(s.sessions) >= s.opt.Sessions
+	if full {
+		if out = s.leastUsed(); out != nil {
+			delete(s.sessions, out.id)
+		}
+	}
+	if !full || out != nil {
+		// The id lets anyone end the session's query, so it can't be guessed.
+		for ses.id == 0 || s.sessions[ses.id] != nil {
+			ses.id = rand.Uint32()
+		}
+		s.sessions[ses.id] = ses
+	}
+	s.mu.Unlock()
+	if out != nil {
+		s.opt.Counters.Add("sessions_evicted", 1)
+		_ = out.conn.Close()
+	}
+	return !full || out != nil
+}
+
+// leastUsed is the session that may be closed for a new one: the oldest that has asked nothing or is being
+// closed, or else the one that has been idle for longest; nil when all are at work.
+func (s *Server) leastUsed() (least *session) {
+	var best phase
+	var since time.Time
+	for _, ses := range s.sessions {
+		ses.mu.Lock()
+		p, at := ses.phase, ses.since
+		ses.mu.Unlock()
+		if p == serving || p == reading {
+			continue
+		}
+		if p == closing {
+			p = greeted
+		}
+		if least == nil || p < best || (p == best && at.Before(since)) {
+			least, best, since = ses, p, at
+		}
+	}
+	return least
+}
+
 // disconnect is called at once when the peer has closed, also while a request is in hand.
 func (s *Server) disconnect(ctx context.Context, _ netpoll.Connection) {
 	ses, _ := ctx.Value(sessionKey{}).(*session)
@@ -137,20 +194,18 @@
 	if ses == nil {
 		return c.Close()
 	}
-	ses.setBusy(true)
-	ok := ses.packet()
-	ses.setBusy(false)
-	if !ok {
+	ses.enter(reading)
+	if !ses.packet() {
 		s.mu.Lock()
 		delete(s.sessions, ses.id)
 		s.mu.Unlock()
 		return c.Close()
 	}
+	ses.enter(idle)
 	return nil
 }
 
-// sweep closes sessions that have been idle for longer than any client keeps one: a client that was cut off
-// says nothing, and would hold its descriptor for good.
+// sweep closes sessions that have been at one thing for too long, or whose input piles up.
 func (s *Server) sweep(stop <-chan struct{}) {
 	tick := time.NewTicker(sweepEvery)
 	defer tick.Stop()
@@ -163,17 +218,16 @@
 		s.mu.Lock()
 		var old []*session
 		for id, ses := range s.sessions {
-			ses.mu.Lock()
-			if !ses.busy && time.Since(ses.last) > sessionIdle {
+			if why := ses.overdue(); why != "" {
+				s.opt.Counters.Add(why, 1)
 				old = append(old, ses)
 				delete(s.sessions, id)
 			}
-			ses.mu.Unlock()
 		}
 		s.mu.Unlock()
 		for _, ses := range old {
-			s.opt.Counters.Add("sessions_swept", 1)
 			_ = ses.conn.Close()
+			ses.abandon() // the descriptor is held until the request in hand is let go
 		}
 	}
 }
@@ -213,10 +267,30 @@
 	}
 }
 
-func (s *session) setBusy(busy bool) {
+// enter moves the session to a phase. Until its first command it counts from its connect, whatever it sends.
+func (s *session) enter(p phase) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.phase == greeted && (p == reading || (p == idle && !s.asked)) {
+		return
+	}
+	s.phase, s.since = p, time.Now()
+}
+
+// overdue tells why the session is to be closed; empty when it may stay.
+func (s *session) overdue() string {
 	s.mu.Lock()
-	s.busy, s.last = busy, time.Now()
+	p, age := s.phase, time.Since(s.since)
 	s.mu.Unlock()
+	switch {
+	case p == serving && s.conn.Reader().Len() > maxBehind:
+		// Guards against a peer that goes on sending while its request is open: netpoll reads all of it.
+		return "sessions_flooded"
+	case p == greeted && age > firstWait, p == reading && age > packetWait, p == idle && age > idleWait:
+		// Guards against a peer that was cut off, or never meant to ask: it would hold its descriptor for good.
+		return "sessions_swept"
+	}
+	return ""
 }
 
 func (s *session) write(b []byte) error {
@@ -237,7 +311,7 @@
 	s.seq = head[3] + 1
 	if size > maxPacket || size == 0 {
 		s.srv.malformed(s, fmt.Sprintf("packet of %d bytes", size))
-		return s.fail(codeTooLarge, "08S01", "packet size is out of bounds") && false
+		return s.last(codeTooLarge, "08S01", "packet size is out of bounds")
 	}
 	p, err := r.Next(size)
 	if err != nil {
@@ -248,6 +322,36 @@
 	return ok
 }
 
+// last writes a last error and ends the session. Guards against the error being lost: closing with input unread
+// resets the connection, which can take with it what the peer has not read yet. So what the peer still sends is
+// thrown away until it closes, for a moment.
+func (s *session) last(code int, state, message string) bool {
+	if !s.fail(code, state, message) {
+		return false
+	}
+	s.enter(closing)
+	// The descriptor is ours for as long as this callback runs.
+	if c, ok := s.conn.(netpoll.Conn); ok {
+		_ = syscall.Shutdown(c.Fd(), syscall.SHUT_WR)
+	}
+	r, end := s.conn.Reader(), time.Now().Add(lastWait)
+	for bytes := 0; bytes < lastBytes; {
+		left := time.Until(end)
+		if left <= 0 || s.conn.SetReadTimeout(left) != nil {
+			break
+		}
+		if _, err := r.Peek(1); err != nil {
+			break
+		}
+		n := r.Len()
+		if r.Skip(n) != nil || r.Release() != nil {
+			break
+		}
+		bytes += n
+	}
+	return false
+}
+
 func (s *session) fail(code int, state, message string) bool {
 	return s.write(appendError(nil, &s.seq, code, state, message)) == nil
 }
@@ -258,6 +362,7 @@
 	if !s.logged {
 		return s.login(p)
 	}
+	s.asked = true
 	switch p[0] {
 	case comQuit:
 		return false
@@ -279,14 +384,14 @@
 	l, err := parseLogin(p)
 	if err != nil {
 		s.srv.malformed(s, err.Error())
-		return s.fail(codeBadHandshake, "08S01", "Bad handshake") && false
+		return s.last(codeBadHandshake, "08S01", "Bad handshake")
 	}
 	if string(l.user) != user || len(l.auth) > 0 {
 		s.srv.malformed(s, "login denied")
-		return s.fail(codeDenied, "28000", "Access denied") && false
+		return s.last(codeDenied, "28000", "Access denied")
 	}
 	if len(l.db) > 0 && string(l.db) != database {
-		return s.fail(codeUnknownDB, "42000", "Unknown database") && false
+		return s.last(codeUnknownDB, "42000", "Unknown database")
 	}
 	s.logged = true
 	return s.ok()
@@ -307,6 +412,7 @@
 		return s.fail(codeParse, "42000", err.Error())
 	}
 	x := exchange.New(req, arrived)
+	s.enter(serving)
 	s.mu.Lock()
 	s.open = x
 	s.mu.Unlock()
--- a/internal/mysql/statement.go
+++ b/internal/mysql/statement.go
@@ -4,11 +4,11 @@
 	"bytes"
 	"errors"
 	"fmt"
-	"math"
 	"strconv"
 	"time"
 
 	"beechcart/internal/exchange"
+	"beechcart/internal/figure"
 	"beechcart/internal/settings"
 )
 
@@ -25,6 +25,7 @@
 	}
 	fields, text := q[2:end], bytes.TrimLeft(q[end+2:], " \t\r\n")
 	r.Class, r.Tenant, r.Group = -1, -1, -1
+	seen := map[string]bool{}
 	for len(fields) > 0 {
 		var field []byte
 		field, fields, _ = bytes.Cut(fields, []byte(","))
@@ -32,6 +33,11 @@
 		if !ok {
 			return r, fmt.Errorf("field %.40q is not name=value", field)
 		}
+		// A field that comes twice may mean one thing here and another at the engine.
+		if seen[string(name)] {
+			return r, fmt.Errorf("field %.40q comes twice", name)
+		}
+		seen[string(name)] = true
 		if err := setField(&r, string(name), value, names); err != nil {
 			return r, err
 		}
@@ -65,11 +71,19 @@
 	return uint32(n), err == nil
 }
 
+// The bounds of the figures that a request may carry.
+const (
+	mostWaitMs   = 3600 * 1000
+	mostEstimate = 1e9 // milliseconds of work, megabytes
+)
+
+// setField takes one field. Each is checked here, before any is passed on: an engine must not see what it can't
+// use, nor the controller a figure that is none.
 func setField(r *exchange.Request, name string, value []byte, names settings.Names) error {
 	bad := func() error { return fmt.Errorf("field %s: %.40q can't be used", name, value) }
 	number := func(most float64) (float64, bool) {
-		f, err := strconv.ParseFloat(string(value), 64)
-		return f, err == nil && !math.IsNaN(f) && f >= 0 && f <= most
+		f, ok := figure.Parse(value)
+		return f, ok && f <= most
 	}
 	switch name {
 	case "c":
@@ -88,21 +102,24 @@
 		}
 		r.ID = string(value)
 	case "d":
-		f, ok := number(24 * 3600 * 1000)
+		f, ok := number(mostWaitMs)
 		if !ok || f == 0 {
 			return bad()
 		}
 		r.Left = time.Duration(f * float64(time.Millisecond))
 	case "t":
-		r.Tenant = settings.Find(names.Tenants, string(value))
+		// A tenant that does not exist has no share: its request is refused as malformed, not served as another's.
+		if r.Tenant = settings.Find(names.Tenants, string(value)); r.Tenant < 0 && len(names.Tenants) > 0 {
+			return bad()
+		}
 	case "h":
-		f, ok := number(1e9)
+		f, ok := number(mostEstimate)
 		if !ok {
 			return bad()
 		}
 		r.Work = time.Duration(f * float64(time.Millisecond))
 	case "need_mb":
-		f, ok := number(1e9)
+		f, ok := number(mostEstimate)
 		if !ok {
 			return bad()
 		}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -41,6 +41,7 @@
 	deadline             // its client is about to
 	ended                // an attempt has
 	listed               // the engine list has changed
+	stopping             // the front end stops
 )
 
 type input struct {
@@ -76,8 +77,10 @@
 	wake  chan struct{}
 
 	// Owned by Run.
-	open  map[string]*entry
-	batch []admission.Event
+	open   map[string]*entry
+	seen   *memory
+	stopBy time.Time // all is answered by then; zero: the front end is not stopping
+	batch  []admission.Event
 }
 
 // New returns a planner for a controller with those classes.
@@ -86,6 +89,7 @@
 	return &Planner{
 		ctl: ctl, classes: classes, counters: counters, log: log, start: now,
 		base: time.Duration(now.UnixNano()), wake: make(chan struct{}, 1), open: map[string]*entry{},
+		seen: newMemory(),
 	}
 }
 
@@ -123,6 +127,11 @@
 // Members brings an event of the engine list.
 func (p *Planner) Members(l roster.List) { p.post(input{kind: listed, list: l}) }
 
+// Stop tells that the front end ends after that time: all that is open, or still comes, is answered by then.
+func (p *Planner) Stop(left time.Duration) {
+	p.post(input{kind: stopping, ev: admission.Stopping{Left: left}})
+}
+
 // Run serves until stop is closed.
 func (p *Planner) Run(engines Engines, stop <-chan struct{}) {
 	p.engines = engines
@@ -186,6 +195,8 @@
 		return nil
 	case ended:
 		return p.end(in)
+	case stopping:
+		p.stop(in.ev.(admission.Stopping).Left)
 	case listed:
 		p.engines.Update(in.list)
 		return in.list.Members()
@@ -203,7 +214,13 @@
 		x.Settle(exchange.Answer{Kind: exchange.Failed, Reason: "a request with this id is open"})
 		return nil
 	}
-	wait := time.Until(x.Deadline()) - answerMargin
+	// An engine may know the id still, and would give its old answer, which is none to this statement.
+	if !p.seen.add(x) {
+		p.counters.Add("reused_id", 1)
+		x.Settle(exchange.Answer{Kind: exchange.Failed, Reason: "this id was used for another statement"})
+		return nil
+	}
+	wait := p.left(x)
 	if wait <= 0 {
 		p.counters.Add("no_time", 1)
 		x.Settle(exchange.Answer{Kind: exchange.Refused, Reason: "no time is left"})
@@ -218,6 +235,26 @@
 	}
 }
 
+// left is how long there is for the final answer.
+func (p *Planner) left(x *exchange.Exchange) time.Duration {
+	wait := time.Until(x.Deadline()) - answerMargin
+	if !p.stopBy.IsZero() {
+		wait = min(wait, time.Until(p.stopBy))
+	}
+	return wait
+}
+
+// stop sees to it that what the controller leaves open is answered before the front end ends. Guards against
+// requests that are never answered, as the process is killed while they run.
+func (p *Planner) stop(left time.Duration) {
+	p.stopBy = time.Now().Add(left)
+	for _, e := range p.open {
+		if !e.x.Settled() {
+			e.timer.Reset(p.left(e.x))
+		}
+	}
+}
+
 func (p *Planner) gone(x *exchange.Exchange) admission.Event {
 	e := p.open[x.ID]
 	if e == nil || e.x != x {
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -122,3 +122,66 @@
 	assert.EqualValues(t, 1, c.Get("served_too_late"))
 	assert.Empty(t, p.open)
 }
+
+func TestAnIdIsNotUsedForAnotherStatement(t *testing.T) {
+	var told int
+	p, _, c := newPlanner(func(ev []admission.Event) []admission.Action {
+		told += len(ev)
+		return nil
+	})
+	ask := func(id, statement string) *exchange.Exchange {
+		x := exchange.New(exchange.Request{ID: id, Left: time.Hour, Statement: []byte(statement)}, time.Now())
+		p.step([]input{{kind: taken, x: x}})
+		return x
+	}
+	ask("a", "SELECT 1").Settle(exchange.Answer{Kind: exchange.Left})
+	delete(p.open, "a")
+	assert.False(t, ask("a", "SELECT 1").Settled(), "what crossed a close is sent again")
+	delete(p.open, "a")
+	ask("b", "SELECT 1")
+	x := ask("a", "SELECT 2")
+	require.True(t, x.Settled())
+	assert.Equal(t, exchange.Failed, x.Answer().Kind)
+	assert.EqualValues(t, 1, c.Get("reused_id"))
+	assert.Equal(t, 3, told)
+	for range 2 { // both generations pass
+		p.seen.since = time.Now().Add(-2 * rememberFor)
+		ask("c", "SELECT 1")
+		delete(p.open, "c")
+	}
+	assert.False(t, ask("a", "SELECT 2").Settled(), "what is long ago is forgotten")
+	assert.LessOrEqual(t, len(p.seen.now)+len(p.seen.old), 3)
+}
+
+func TestStopAnswersAllInTime(t *testing.T) {
+	var left []time.Duration
+	p, _, _ := newPlanner(func(ev []admission.Event) []admission.Action {
+		for _, ev := range ev {
+			switch ev := ev.(type) {
+			case admission.Stopping:
+				left = append(left, ev.Left)
+			case admission.Request:
+				left = append(left, ev.Left)
+			}
+		}
+		return nil
+	})
+	early, late := request(time.Hour), request(time.Hour)
+	late.ID = "b"
+	p.step([]input{{kind: taken, x: early}})
+	p.Stop(50 * time.Millisecond)
+	p.step([]input{p.queue[0], {kind: taken, x: late}})
+	p.queue = nil
+	require.Len(t, left, 3)
+	assert.Equal(t, 50*time.Millisecond, left[1])
+	assert.LessOrEqual(t, left[2], 50*time.Millisecond, "what comes later has no more time")
+	for !early.Settled() || !late.Settled() {
+		<-p.wake
+		p.mu.Lock()
+		in := p.queue
+		p.queue = nil
+		p.mu.Unlock()
+		p.step(in)
+	}
+	assert.Equal(t, exchange.Failed, early.Answer().Kind)
+}
