--- a/admission/controller.go
+++ b/admission/controller.go
@@ -69,6 +69,7 @@
 	fitMargin   = 1.5             // times the expected time that must fit before the client leaves ...
 	fitCalm     = 0.5             // ... and while the fleet is calm: an idle engine may as well try
 	metBias     = 0.02            // for an engine where the request would stand behind a holder of its group
+	middleBias  = 0.3             // for the engine between those of holders and of those that wait for them
 	homeBias    = 2.0             // how far a table group bends the draw to its home engine: 4 cost more
 	guessFor    = 3 * time.Second // an engine that was lost counts as cold until the list had time to tell
 	fullRest    = 200 * time.Millisecond
@@ -602,6 +603,8 @@
 	bias, before := 1.0, len(c.homes)-1-at
 	apart := c.anyWaits() && (r.cls.Holds || r.cls.Waits) && len(c.homes) >= 4
 	switch far := 2*before >= len(c.homes); {
+	case apart && 2*before == len(c.homes)-1: // the middle one of an odd number is open to both
+		bias = middleBias
 	case apart && far != r.cls.Holds:
 		return 0 // on a hot group a holder follows on the last, and waiters would fill the engine
 	case before == 0 && !r.cls.Holds:
--- a/admission/further_test.go
+++ b/admission/further_test.go
@@ -367,3 +367,29 @@
 		t.Fatalf("refused %s", r.ID)
 	}
 }
+
+// TestTheMiddleEngineIsOpenToBoth: with few engines, holders of a group stood in line on two of five for seconds,
+// while those that wait for them had time to spare on the other three.
+func TestTheMiddleEngineIsOpenToBoth(t *testing.T) {
+	s := base()
+	s.Classes[0].Waits, s.Classes[1].Holds = true, true
+	for n, both := range map[int]int{4: 0, 5: 1, 6: 0, 7: 1} {
+		b := start(t, s, engines(n))
+		used := [2]map[uint32]bool{{}, {}}
+		for i := range 400 {
+			id, class := fmt.Sprint("r", i), i%2
+			snd := one[Send](t, b.step(Request{ID: id, Class: class, Left: 4 * sec, Group: 7, Work: 50 * ms}))
+			used[class][snd.Engine] = true
+			b.step(Outcome{ID: id, Engine: snd.Engine, Status: OK, Closed: true})
+		}
+		common := 0
+		for e := range used[0] {
+			if used[1][e] {
+				common++
+			}
+		}
+		if common != both || len(used[0])+len(used[1]) != n+both {
+			t.Fatalf("%d engines: waiters on %v, holders on %v", n, used[0], used[1])
+		}
+	}
+}
