--- a/admission/controller.go
+++ b/admission/controller.go
@@ -79,6 +79,7 @@
 	spareTokens = 3.0                    // reserve of a tenant beyond two seconds of its rate, for chance
 	rateFade    = 15 * time.Second       // own arrivals are smoothed over so long: longer than most bursts
 	stopMargin  = 600 * time.Millisecond // before the gateway's end: for cancels to be proved
+	goneFor     = 2 * time.Minute        // engines that are gone are remembered for, lest they come back
 	lookAhead   = 8                      // requests of one list looked at behind one that has no room
 	queueFactor = 12                     // queue depth per own thread, of at least queueLeast
 	queueLeast  = 32
@@ -981,6 +982,7 @@
 	for _, e := range c.engines {
 		c.watch(e)
 	}
+	c.forgetGone()
 	c.callBack()
 	for key, k := range c.keys { // order does not reach an action
 		if len(k.line) == 0 && c.now >= k.rest {
--- a/admission/further_test.go
+++ b/admission/further_test.go
@@ -393,3 +393,31 @@
 		}
 	}
 }
+
+// TestEnginesLongGoneAreForgotten: on a day of replacements all that had ever been listed were looked at in each step.
+func TestEnginesLongGoneAreForgotten(t *testing.T) {
+	b := start(t, base(), engines(2))
+	list := engines(2)
+	list[1].State = Removed
+	id := ""
+	for i := 0; id == ""; i++ { // one that is out on the engine that goes
+		id = fmt.Sprint("r", i)
+		if one[Send](t, b.step(Request{ID: id, Left: 1000 * sec, Group: -1, Work: 50 * ms})).Engine != list[1].ID {
+			id = ""
+		}
+	}
+	b.step(Members{Kind: Partial, Engines: list[1:]})
+	b.pass(goneFor / 2)
+	if len(b.c.engines) != 2 {
+		t.Fatal("forgotten at once")
+	}
+	b.pass(goneFor)
+	if len(b.c.engines) != 2 {
+		t.Fatal("forgotten with an attempt out")
+	}
+	b.step(Outcome{ID: id, Engine: list[1].ID, Status: OK, Closed: true})
+	b.pass(sec)
+	if len(b.c.engines) != 1 || len(b.c.byID) != 1 || len(b.c.byHash) != 1 {
+		t.Fatalf("%d engines remembered", len(b.c.engines))
+	}
+}
--- a/admission/state.go
+++ b/admission/state.go
@@ -63,6 +63,7 @@
 	Engine
 	cores, memory float64
 	gone          bool
+	goneAt        time.Duration // when it went
 	coldFrom      time.Duration // when it started, as far as we know; negative: long ago
 	spent         []spend       // own work sent while it is cold
 	rep           Report
@@ -463,6 +464,21 @@
 	}
 }
 
+// forgetGone drops engines that left long ago and hold nothing. Guards against days on which engines are replaced
+// all the time: each step looks at all that are remembered. One that drains may still come back.
+func (c *Controller) forgetGone() {
+	c.engines = slices.DeleteFunc(c.engines, func(e *engine) bool {
+		old := e.State == Removed && len(e.outs) == 0 && c.now-e.goneAt > goneFor
+		if old {
+			delete(c.byID, e.ID)
+			if c.byHash[e.hash] == e {
+				delete(c.byHash, e.hash)
+			}
+		}
+		return old
+	})
+}
+
 // service is the expected time from sending to answer.
 func (c *Controller) service(r *request, pace float64) time.Duration {
 	pace *= math.Exp(c.classes[r.Class].slow)
@@ -556,6 +572,9 @@
 	if en.Kind >= 0 && en.Kind < len(c.set.Kinds) {
 		e.cores, e.memory = math.Max(float64(c.set.Kinds[en.Kind].Cores), 1), c.set.Kinds[en.Kind].MemoryMB
 	}
+	if !e.gone && en.State != Ready {
+		e.goneAt = c.now
+	}
 	e.gone = en.State != Ready
 	if restarted && c.now-en.Started < c.set.Cold {
 		c.startCold(e, en.Started)
