Read the engine list from Consul as well as from the change log

The front end knew one source, wired into its main program. Change: internal/source has a Source interface and a feed that moves between sources on SIGHUP without losing what runs; changelog and consul implement it. A last good list is kept whole, checksummed and refused by name. Operators' settings are typed and strict, the command line is cobra's, an admin socket tells what is believed. A stand-in Consul speaks to the published Go client in its tests.

--- /dev/null
+++ b/cmd/beechcart/command.go
@@ -0,0 +1,85 @@
+//go:build !lean
+
+package main
+
+import (
+	"fmt"
+	"os"
+	"runtime/debug"
+
+	"github.com/spf13/cobra"
+)
+
+func execute() error { return command().Execute() }
+
+func (f *files) flags(c *cobra.Command) {
+	c.Flags().StringVar(&f.config, "config", os.Getenv("PROXY_CONFIG"), "the platform's configuration, JSON (PROXY_CONFIG)")
+	c.Flags().StringVar(&f.settings, "settings", os.Getenv("BEECHCART_SETTINGS"),
+		"operators' settings, as built by 'beechctl config build' (BEECHCART_SETTINGS); none: the defaults")
+	_ = c.MarkFlagFilename("config", "json")
+	_ = c.MarkFlagFilename("settings", "json")
+}
+
+func command() *cobra.Command {
+	var f files
+	root := &cobra.Command{
+		Use:   "beechcart",
+		Short: "Query front end: MySQL protocol to clients, HTTP to engines",
+		Long: "beechcart takes queries over the MySQL protocol, and decides when and on which engine each one runs.\n" +
+			"Without a command it runs, as 'beechcart run' does, with the configuration that PROXY_CONFIG names.",
+		SilenceErrors: true, SilenceUsage: true,
+		Args: func(_ *cobra.Command, args []string) error {
+			if len(args) > 0 {
+				return usageError{fmt.Errorf("unknown command %q; beechcart --help tells what there is", args[0])}
+			}
+			return nil
+		},
+		RunE: func(*cobra.Command, []string) error { return run(&f) },
+	}
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
+	noArgs := func(c *cobra.Command, args []string) error {
+		if err := cobra.NoArgs(c, args); err != nil {
+			return usageError{err}
+		}
+		return nil
+	}
+	f.flags(root)
+	serve := &cobra.Command{
+		Use: "run", Short: "Serve until SIGTERM; SIGHUP reads both files again", Args: noArgs,
+		Example: "  beechcart run --config config.json\n  beechcart run --config config.json --settings beechcart.json",
+		RunE:    func(*cobra.Command, []string) error { return run(&f) },
+	}
+	f.flags(serve)
+	check := &cobra.Command{
+		Use: "check", Short: "Read both files, tell what is wrong with them, and end", Args: noArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			cfg, ops, err := f.load()
+			if err != nil {
+				return err
+			}
+			if _, err := newSource(cfg, ops, nil, nil); err != nil {
+				return err
+			}
+			_, err = fmt.Fprintf(c.OutOrStdout(), "good: %s, listening on %s, engine list from %s\n", cfg.Name, cfg.Listen, ops.Source)
+			return err
+		},
+	}
+	f.flags(check)
+	version := &cobra.Command{
+		Use: "version", Short: "Print the version", Args: noArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			_, err := fmt.Fprintln(c.OutOrStdout(), "beechcart", buildVersion())
+			return err
+		},
+	}
+	root.AddCommand(serve, check, version)
+	return root
+}
+
+func buildVersion() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	return info.Main.Version + " " + info.GoVersion
+}
--- a/cmd/beechcart/main_test.go
+++ b/cmd/beechcart/main_test.go
@@ -186,7 +186,7 @@
 	e.waitFor(t, "POST", 1)
 	mute := r.raw()
 	time.Sleep(1100 * time.Millisecond) // it has to be silent for so long
-	for range 50*2/5 - 5 { // with the session that start pinged on
+	for range 50*2/5 - 5 {              // with the session that start pinged on
 		asked()
 	}
 	ended := func(c *client) bool {
--- /dev/null
+++ b/cmd/beechcart/run.go
@@ -0,0 +1,255 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"reflect"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+
+	"beechcart/admission"
+	"beechcart/internal/admin"
+	"beechcart/internal/engine"
+	"beechcart/internal/invariant"
+	"beechcart/internal/mysql"
+	"beechcart/internal/operators"
+	"beechcart/internal/planner"
+	"beechcart/internal/roster"
+	"beechcart/internal/settings"
+	"beechcart/internal/source"
+	"beechcart/internal/source/changelog"
+	"beechcart/internal/source/consul"
+	"beechcart/internal/source/lastgood"
+)
+
+const (
+	lameDuck    = 850 * time.Millisecond // new requests keep coming for up to 0.6 s after SIGTERM
+	stopSpare   = 150 * time.Millisecond // for the last answers to go out before the process is killed
+	reportEvery = 30 * time.Second
+)
+
+// run serves until a signal ends it.
+func run(f *files) error {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	cfg, ops, err := f.load()
+	if err != nil {
+		return err
+	}
+	ctl, err := admission.New(cfg.Admission, cfg.Seed)
+	if err != nil {
+		return fmt.Errorf("configuration: %w", err)
+	}
+	changes := roster.NewLog(cfg.Names)
+	var known []roster.List
+	if len(cfg.Known) > 0 && ops.Source == operators.ChangeLog {
+		if known, err = changes.Read(cfg.Known); err != nil {
+			return fmt.Errorf("known: %w", err)
+		}
+	}
+	log := newLog(os.Stderr, ops.Log).With("node", cfg.Name)
+	if err := fit(cfg); err != nil {
+		return err
+	}
+	counters := &invariant.Counters{}
+	plan := planner.New(ctl, cfg.Admission.Classes, counters, log)
+	fleet := engine.New(engine.Options{
+		ConnectTimeout: cfg.ConnectTimeout, Sockets: cfg.Sockets / 2, Counters: counters,
+	}, plan)
+	front, err := mysql.New(mysql.Options{
+		Names: cfg.Names, Sessions: cfg.Sockets * 2 / 5, Counters: counters, Log: log,
+	}, plan)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	list := &list{
+		files: f, fleet: fleet, changes: changes, log: log, counters: counters,
+		feed: source.NewFeed(ctx, plan.Members, ops.Consul.Membership.Linger, log),
+	}
+	for _, l := range known {
+		list.feed.Take(l)
+	}
+	stop := make(chan struct{})
+	defer close(stop)
+	go plan.Run(fleet, stop)
+	if err := list.follow(cfg, ops); err != nil {
+		return err
+	}
+	defer list.stop()
+	if ops.AdminSocket != "" {
+		door, err := admin.Listen(ops.AdminSocket, map[string]admin.Command{
+			"list":     func() (any, error) { return list.beliefs(), nil },
+			"counters": func() (any, error) { return counters.Map(), nil },
+		})
+		if err != nil {
+			return err
+		}
+		defer door.Close()
+		log.Info("admin socket", "path", ops.AdminSocket)
+	}
+	go report(ctx, counters, log)
+
+	served := make(chan error, 1)
+	go func() { served <- front.Serve(cfg.Listen) }()
+	for stopping := false; !stopping; {
+		select {
+		case err := <-served:
+			return err
+		case sig := <-signals:
+			if stopping = sig != syscall.SIGHUP; !stopping {
+				list.reload()
+				continue
+			}
+			log.Info("stopping", "signal", sig.String())
+		}
+	}
+	plan.Stop(stopWithin(cfg.Admission.Classes))
+	time.Sleep(lameDuck)
+	if err := front.Shutdown(ctx); err != nil {
+		return err
+	}
+	log.Info("stopped", "counters", counters.String())
+	return nil
+}
+
+func newLog(w io.Writer, l operators.Log) *slog.Logger {
+	opt := &slog.HandlerOptions{Level: l.Level}
+	if l.Format == "json" {
+		return slog.New(slog.NewJSONHandler(w, opt))
+	}
+	return slog.New(slog.NewTextHandler(w, opt))
+}
+
+// stopWithin is how long after SIGTERM all must be answered. The platform kills the process once the longest
+// deadline, taken as 3 s at most, and 0.7 s have passed.
+func stopWithin(classes []admission.Class) time.Duration {
+	longest := time.Duration(0)
+	for _, c := range classes {
+		longest = max(longest, c.Deadline)
+	}
+	return min(longest, 3*time.Second) + 700*time.Millisecond - stopSpare
+}
+
+// fit sizes the run time to the machine that the front end has.
+func fit(cfg *settings.Config) error {
+	runtime.GOMAXPROCS(max(1, int(cfg.Cores)))
+	debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * 7 / 10)
+	return netpoll.Configure(netpoll.Config{PollerNum: 1})
+}
+
+// list keeps the engine list up to date, from one source at a time.
+type list struct {
+	files    *files
+	fleet    *engine.Fleet
+	changes  *roster.Log
+	feed     *source.Feed
+	log      *slog.Logger
+	counters *invariant.Counters
+
+	ops    operators.Settings // in force
+	consul *consul.Source     // nil: the change log is followed
+	store  *lastgood.Store
+}
+
+// newSource makes the source that the settings name: the change log, or a Consul catalogue.
+func newSource(cfg *settings.Config, ops operators.Settings, l *list, store consul.Store) (*consul.Source, error) {
+	if ops.Source != operators.Consul {
+		return nil, nil
+	}
+	var counters *invariant.Counters
+	log := slog.Default()
+	if l != nil {
+		counters, log = l.counters, l.log
+	}
+	return consul.New(ops.Consul, cfg.Names, store, counters, log, cfg.Seed)
+}
+
+// follow moves to the source that the settings name. An error changes nothing.
+func (l *list) follow(cfg *settings.Config, ops operators.Settings) error {
+	var store *lastgood.Store
+	var keep consul.Store // stays nil where nothing is kept
+	if ops.LastGood.Path != "" && ops.Source == operators.Consul {
+		store = lastgood.New(ops.LastGood.Path, ops.LastGood.WriteEvery, ops.LastGood.MaxAge, l.log)
+		keep = store
+	}
+	src, err := newSource(cfg, ops, l, keep)
+	if err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	was := l.ops.Source
+	switch {
+	case src == nil:
+		// The events of the change log are numbered on; after another source its first event is asked for again.
+		if was == operators.Consul {
+			l.changes = roster.NewLog(cfg.Names)
+		}
+		l.feed.Follow(changelog.New(l.fleet, cfg.ChangeLog, l.changes, l.log), was != operators.Consul)
+	case l.consul != nil:
+		src.Inherit(l.consul)
+		l.feed.Follow(src, true)
+	default:
+		l.feed.Follow(src, false)
+	}
+	if l.store != nil {
+		l.store.Flush()
+	}
+	l.ops, l.consul, l.store = ops, src, store
+	return nil
+}
+
+// stop ends the source, and keeps what it believed.
+func (l *list) stop() {
+	l.feed.Stop()
+	if l.store != nil {
+		l.store.Flush()
+	}
+}
+
+// reload reads both files again. Guards against files that are bad or half written: what was in force stays. The
+// source of the engine list is all that can change while the program runs.
+func (l *list) reload() {
+	cfg, ops, err := l.files.load()
+	if err == nil && ops.Source == operators.Consul && l.consul != nil && reflect.DeepEqual(ops, l.ops) {
+		l.log.Info("reloaded", "source", ops.Source, "changed", false)
+		return
+	}
+	if err == nil {
+		err = l.follow(cfg, ops)
+	}
+	if err != nil {
+		l.log.Error("reload failed", "error", err)
+		return
+	}
+	if ops.Source == operators.Consul {
+		l.log.Info("reloaded", "source", ops.Source, "addresses", ops.Consul.Addresses)
+		return
+	}
+	l.log.Info("reloaded", "changelog", cfg.ChangeLog)
+}
+
+// beliefs tells what the source in hand believes of each engine.
+func (l *list) beliefs() []source.Belief { return l.feed.Beliefs() }
+
+// report logs the counters now and then.
+func report(ctx context.Context, counters *invariant.Counters, log *slog.Logger) {
+	tell := time.NewTicker(reportEvery)
+	defer tell.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tell.C:
+			log.Info("counters", "counters", counters.String())
+		}
+	}
+}
--- a/internal/engine/http.go
+++ b/internal/engine/http.go
@@ -3,9 +3,9 @@
 import (
 	"bytes"
 	"errors"
-	"strconv"
 
 	"beechcart/internal/figure"
+	"beechcart/internal/http1"
 )
 
 // The bounds of what an engine, or the change log, may send.
@@ -16,8 +16,8 @@
 
 var (
 	errShort = errors.New("http: the message is not whole yet")
-	errBad   = errors.New("http: malformed response")
-	errLarge = errors.New("http: response too large")
+	errBad   = http1.ErrMalformed
+	errLarge = http1.ErrTooLarge
 )
 
 // response is one parsed response. Its slices point into the buffer that it was read into.
@@ -67,34 +67,28 @@
 		return r, 0, errLarge
 	}
 	line, head, _ := bytes.Cut(buf[:end], []byte("\r\n"))
-	// HTTP/1.1 SP code SP reason
-	if len(line) < 12 || !bytes.HasPrefix(line, []byte("HTTP/1.")) || line[8] != ' ' || (len(line) > 12 && line[12] != ' ') {
-		return r, 0, errBad
-	}
-	if r.code, err = whole(line[9:12]); err != nil || r.code < 100 {
-		return r, 0, errBad
+	if r.code, r.close, err = http1.Status(line); err != nil {
+		return r, 0, err
 	}
-	r.close = line[7] == '0'
 	length, chunked, seen := -1, false, fields(0)
 	for len(head) > 0 {
 		line, head, _ = bytes.Cut(head, []byte("\r\n"))
-		name, value, ok := bytes.Cut(line, []byte(":"))
-		if !ok || !isToken(name) {
-			return r, 0, errBad
+		name, value, err := http1.Field(line)
+		if err != nil {
+			return r, 0, err
 		}
-		value = bytes.TrimSpace(value)
 		var this fields
 		switch {
-		case is(name, "Content-Length"):
+		case http1.Is(name, "Content-Length"):
 			this = fieldLength
-			length, err = whole(value)
-		case is(name, "Transfer-Encoding"):
+			length, err = http1.Whole(value)
+		case http1.Is(name, "Transfer-Encoding"):
 			this = fieldEncoding
-			if chunked = is(value, "chunked"); !chunked {
+			if chunked = http1.Is(value, "chunked"); !chunked {
 				err = errBad
 			}
-		case is(name, "Connection"):
-			r.close = r.close || is(value, "close")
+		case http1.Is(name, "Connection"):
+			r.close = r.close || http1.Is(value, "close")
 		default:
 			this, err = r.field(name, value)
 		}
@@ -150,31 +144,31 @@
 func (r *response) field(name, value []byte) (fields, error) {
 	var err error
 	switch {
-	case is(name, "X-Unrun"):
+	case http1.Is(name, "X-Unrun"):
 		r.unrun = string(value) == "1"
 		return fieldUnrun, nil
-	case is(name, "X-How"):
+	case http1.Is(name, "X-How"):
 		r.how = value
 		return fieldHow, nil
-	case is(name, "X-Num"):
+	case http1.Is(name, "X-Num"):
 		r.num = value
 		return fieldNum, nil
-	case is(name, "X-Gauges"):
+	case http1.Is(name, "X-Gauges"):
 		r.gauges = value
 		return fieldGauges, nil
-	case is(name, "X-Batches"):
-		r.pages, err = whole(value)
+	case http1.Is(name, "X-Batches"):
+		r.pages, err = http1.Whole(value)
 		return fieldBatches, err
-	case is(name, "X-Batch"):
-		r.page, err = whole(value)
+	case http1.Is(name, "X-Batch"):
+		r.page, err = http1.Whole(value)
 		return fieldBatch, err
-	case is(name, "X-Spent"):
+	case http1.Is(name, "X-Spent"):
 		var ok bool
 		if r.spent, ok = number(value); !ok {
 			err = errBad
 		}
 		return fieldSpent, err
-	case is(name, "X-Wanted"):
+	case http1.Is(name, "X-Wanted"):
 		var ok bool
 		if r.wanted, ok = number(value); !ok {
 			err = errBad
@@ -184,30 +178,6 @@
 	return 0, nil
 }
 
-// isToken tells a name that a field may have: no blanks, no control characters.
-func isToken(name []byte) bool {
-	for _, c := range name {
-		if c <= ' ' || c >= 0x7f {
-			return false
-		}
-	}
-	return len(name) > 0
-}
-
-// whole reads a whole number of digits only, of a size that anything here may have.
-func whole(text []byte) (int, error) {
-	for _, c := range text {
-		if c < '0' || c > '9' {
-			return 0, errBad
-		}
-	}
-	n, err := strconv.ParseInt(string(text), 10, 40)
-	if err != nil {
-		return 0, errBad
-	}
-	return int(n), nil
-}
-
 // mostFigure bounds the figures that engines tell: milliseconds of work, megabytes, shares.
 const mostFigure = 1e12
 
@@ -217,8 +187,6 @@
 	return f, ok && f <= mostFigure
 }
 
-func is(b []byte, name string) bool { return len(b) == len(name) && bytes.EqualFold(b, []byte(name)) }
-
 // dechunk joins the chunks at the start of buf in place, once all are there: a message that is read again when
 // more of it has come must not be changed before.
 func dechunk(buf []byte) (body []byte, n int, err error) {
@@ -257,15 +225,10 @@
 		}
 		return 0, 0, errShort
 	}
-	word, _, _ := bytes.Cut(buf[:eol], []byte(";"))
-	n, err := strconv.ParseUint(string(bytes.TrimSpace(word)), 16, 32)
-	if err != nil {
-		return 0, 0, errBad
-	}
-	if n > maxBody {
-		return 0, 0, errLarge
+	if size, err = http1.ChunkSize(buf[:eol], maxBody); err != nil {
+		return 0, 0, err
 	}
-	size, from = int(n), eol+2
+	from = eol + 2
 	if len(buf) < from+size+2 {
 		return 0, 0, errShort
 	}
--- a/internal/invariant/invariant.go
+++ b/internal/invariant/invariant.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"sort"
 	"strings"
 	"sync"
@@ -32,6 +33,13 @@
 	return c.n[name]
 }
 
+// Map returns a copy of all counts.
+func (c *Counters) Map() map[string]int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return maps.Clone(c.n)
+}
+
 // Hold asserts that a statement holds. A breach ends a debug build and is counted as broken_NAME in a release
 // build. It returns ok, so that a caller can step aside.
 func (c *Counters) Hold(ok bool, name string) bool {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -18,6 +18,7 @@
 type Engine struct {
 	admission.Engine
 	Name, Addr string
+	Reason     string // why it is in its state, where its source tells
 }
 
 // List is one event of the change log.
--- a/internal/settings/config.go
+++ b/internal/settings/config.go
@@ -17,14 +17,15 @@
 
 // Config is what a front end is told at its start.
 type Config struct {
-	Name, Listen, ChangeLog string
-	Seed                    uint64
-	Cores                   float64
-	MemoryMB, Sockets       int
-	Known                   []byte // the change log's events so far, as JSON
-	Admission               admission.Settings
-	Names                   Names
-	ConnectTimeout          time.Duration
+	Name, Listen      string
+	ChangeLog         string // may be empty where the engine list comes from elsewhere
+	Seed              uint64
+	Cores             float64
+	MemoryMB, Sockets int
+	Known             []byte // the change log's events so far, as JSON
+	Admission         admission.Settings
+	Names             Names
+	ConnectTimeout    time.Duration
 }
 
 // Load reads the configuration file and applies the environment's name and address over it.
@@ -64,9 +65,6 @@
 		MemoryMB: v.GetInt("limits", "memory_mb"), Sockets: v.GetInt("limits", "sockets"),
 		ConnectTimeout: 250 * time.Millisecond,
 	}
-	if c.ChangeLog == "" {
-		return nil, errors.New("changelog: no address is given")
-	}
 	if seed := strings.TrimSpace(str("seed")); seed != "" {
 		if c.Seed, err = strconv.ParseUint(seed, 16, 64); err != nil {
 			return nil, fmt.Errorf("seed: %q is not a hex number", seed)
--- /dev/null
+++ b/internal/source/changelog/changelog.go
@@ -0,0 +1,45 @@
+// Package changelog makes the engine list from the platform's change log.
+package changelog
+
+import (
+	"context"
+	"log/slog"
+
+	"beechcart/internal/engine"
+	"beechcart/internal/roster"
+)
+
+// Source follows the change log at one address.
+type Source struct {
+	fleet   *engine.Fleet
+	addr    string
+	changes *roster.Log
+	log     *slog.Logger
+	lost    bool // polls fail
+}
+
+// New returns a Source that goes on after the last event that changes holds.
+func New(fleet *engine.Fleet, addr string, changes *roster.Log, log *slog.Logger) *Source {
+	return &Source{fleet: fleet, addr: addr, changes: changes, log: log}
+}
+
+// Run polls until ctx ends.
+func (s *Source) Run(ctx context.Context, take func(roster.List)) {
+	s.fleet.Changes(ctx, s.addr, s.changes.Seq(), func(text []byte) (int64, error) {
+		lists, err := s.changes.Read(text)
+		for _, l := range lists {
+			take(l)
+		}
+		return s.changes.Seq(), err
+	}, s.state)
+}
+
+func (s *Source) state(err error) {
+	switch {
+	case err != nil && !s.lost:
+		s.log.Warn("change log lost", "error", err)
+	case err == nil && s.lost:
+		s.log.Info("change log back")
+	}
+	s.lost = err != nil
+}
--- /dev/null
+++ b/internal/source/lastgood/lastgood_test.go
@@ -0,0 +1,93 @@
+package lastgood
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"beechcart/decision/membership"
+)
+
+var list = []membership.Entry{
+	{Key: "n1/e1", Addr: "10.0.0.1:80", Zone: "a", Kind: "std", Cell: 2, Weight: 1.5, Created: 1 << 60, Mark: "p", Started: 5 * time.Second, Passing: true},
+	{Key: "n2/e2", Addr: "10.0.0.2:80", Weight: 1, Drain: true},
+}
+
+var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
+
+func TestKeepsAList(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "list")
+	s := New(path, time.Hour, time.Hour, quiet)
+	got, _, err := s.Load()
+	require.NoError(t, err, "no file is an empty list")
+	require.Empty(t, got)
+	s.Save(list)
+	require.Eventually(t, func() bool { _, err := os.Stat(path); return err == nil }, 10*time.Second, time.Millisecond)
+	s.Save(list[:1])
+	s.Flush()
+	got, kept, err := s.Load()
+	require.NoError(t, err)
+	assert.Equal(t, list[:1], got)
+	assert.WithinDuration(t, time.Now(), kept, time.Minute)
+	got, _, err = Decode(Encode(list, time.Now()))
+	require.NoError(t, err)
+	assert.Equal(t, list, got)
+}
+
+// Guards against a file that is used in part: each is refused by name and moved aside.
+func TestRefusesWhatItCantUse(t *testing.T) {
+	good := Encode(list, time.Now())
+	flipped := bytes.Clone(good)
+	flipped[len(flipped)-9] ^= 1
+	for name, k := range map[string]struct {
+		text []byte
+		why  error
+	}{
+		"empty":              {nil, ErrTruncated},
+		"first line cut":     {good[:7], ErrTruncated},
+		"body cut":           {good[:len(good)-1], ErrTruncated},
+		"head only":          {good[:bytes.IndexByte(good, '\n')+1], ErrTruncated},
+		"a bit flipped":      {flipped, ErrTorn},
+		"more after it":      {append(bytes.Clone(good), 'x'), ErrTorn},
+		"another program's":  {[]byte("#!/bin/sh\nexit\n"), ErrForeign},
+		"a later version":    {append([]byte("beechcart-list 2 whatever comes\n"), good...), ErrFuture},
+		"whole and no list":  {bytes.Replace(Encode(nil, time.Now()), []byte(`"engines"`), []byte(`"engineX"`), 1), ErrTorn},
+		"of a week ago":      {Encode(list, time.Now().Add(-168*time.Hour)), ErrAge},
+		"an entry of no key": {Encode([]membership.Entry{{Addr: "10.0.0.1:1"}}, time.Now()), ErrMalformed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			path := filepath.Join(t.TempDir(), "list")
+			require.NoError(t, os.WriteFile(path, k.text, 0o600))
+			_, _, err := New(path, 0, time.Hour, quiet).Load()
+			require.ErrorIs(t, err, k.why)
+			_, err = os.Stat(path)
+			assert.ErrorIs(t, err, os.ErrNotExist)
+			aside, err := os.ReadFile(path + "." + k.why.Error())
+			require.NoError(t, err)
+			assert.Equal(t, len(k.text), len(aside))
+		})
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add(Encode(list, time.Now()))
+	f.Add([]byte("beechcart-list 1 2 0\n{}"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		if _, _, err := Decode(text); err != nil {
+			for _, why := range []error{ErrForeign, ErrFuture, ErrTruncated, ErrTorn, ErrLarge, ErrMalformed} {
+				if errors.Is(err, why) {
+					return
+				}
+			}
+			t.Fatalf("an error without a name: %v", err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/standin/consul/consul_test.go
@@ -0,0 +1,134 @@
+package consul
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/consul/api"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// The published client drives the stand-in, so that what the front end meets here is what it meets elsewhere.
+func client(t *testing.T, s *Server, token string) *api.Client {
+	c, err := api.NewClient(&api.Config{Address: s.Addr, Token: token})
+	require.NoError(t, err)
+	return c
+}
+
+func standIn(t *testing.T) *Server {
+	s, err := Start("127.0.0.1:0", nil)
+	require.NoError(t, err)
+	t.Cleanup(s.Close)
+	return s
+}
+
+func TestSpeaksToThePublishedClient(t *testing.T) {
+	s := standIn(t)
+	c := client(t, s, "")
+	require.NoError(t, c.Agent().ServiceRegister(&api.AgentServiceRegistration{
+		ID: "e1", Name: "engine", Tags: []string{"blue"}, Port: 7001, Address: "127.0.0.9", Meta: map[string]string{"zone": "a"},
+		Weights: &api.AgentWeights{Passing: 10, Warning: 2}, Check: &api.AgentServiceCheck{TTL: "50ms"},
+	}))
+	list, meta, err := c.Health().Service("engine", "", false, nil)
+	require.NoError(t, err)
+	require.Len(t, list, 1)
+	assert.True(t, meta.KnownLeader)
+	assert.Equal(t, "127.0.0.9", list[0].Service.Address)
+	assert.Equal(t, 10, list[0].Service.Weights.Passing)
+	assert.Equal(t, "a", list[0].Service.Meta["zone"])
+	assert.Equal(t, api.HealthCritical, list[0].Checks.AggregatedStatus())
+	require.NoError(t, c.Agent().UpdateTTL("service:e1", "well", api.HealthPassing))
+
+	// A blocking query wakes as the check expires, and not before.
+	list, meta, err = c.Health().Service("engine", "blue", true, nil)
+	require.NoError(t, err)
+	require.Len(t, list, 1)
+	list, meta2, err := c.Health().Service("engine", "", false, &api.QueryOptions{WaitIndex: meta.LastIndex, WaitTime: 10 * time.Second})
+	require.NoError(t, err)
+	assert.Greater(t, meta2.LastIndex, meta.LastIndex)
+	assert.Equal(t, api.HealthCritical, list[0].Checks.AggregatedStatus())
+
+	require.NoError(t, c.Agent().EnableServiceMaintenance("e1", "new disks"))
+	list, _, err = c.Health().Service("engine", "", false, nil)
+	require.NoError(t, err)
+	assert.Equal(t, api.HealthMaint, list[0].Checks.AggregatedStatus())
+	require.NoError(t, c.Agent().DisableServiceMaintenance("e1"))
+	require.NoError(t, c.Agent().EnableNodeMaintenance("new cables"))
+	list, _, err = c.Health().Service("engine", "", false, nil)
+	require.NoError(t, err)
+	assert.Equal(t, api.HealthMaint, list[0].Checks.AggregatedStatus())
+	require.NoError(t, c.Agent().DisableNodeMaintenance())
+	checks, _, err := c.Health().State(api.HealthCritical, nil)
+	require.NoError(t, err)
+	assert.Len(t, checks, 1)
+
+	rows, _, err := c.Catalog().Service("engine", "", nil)
+	require.NoError(t, err)
+	assert.Equal(t, 7001, rows[0].ServicePort)
+	_, err = c.Catalog().Register(&api.CatalogRegistration{Node: "n2", Address: "127.0.0.2",
+		Service: &api.AgentService{ID: "e2", Service: "engine", Port: 1}}, nil)
+	require.NoError(t, err)
+	require.NoError(t, c.Agent().ServiceDeregister("e1"))
+	list, _, err = c.Health().Service("engine", "", false, nil)
+	require.NoError(t, err)
+	require.Len(t, list, 1)
+	assert.Equal(t, "n2", list[0].Node.Node)
+	assert.Equal(t, api.HealthPassing, list[0].Checks.AggregatedStatus(), "no checks, none failing")
+	leader, err := c.Status().Leader()
+	require.NoError(t, err)
+	assert.Equal(t, s.Addr, leader)
+}
+
+func TestTokens(t *testing.T) {
+	s := standIn(t)
+	s.SetTokens("good")
+	_, _, err := client(t, s, "bad").Health().Service("engine", "", false, nil)
+	var status api.StatusError
+	require.ErrorAs(t, err, &status)
+	assert.Equal(t, http.StatusForbidden, status.Code)
+	_, _, err = client(t, s, "good").Health().Service("engine", "", false, nil)
+	assert.NoError(t, err)
+}
+
+func TestFaultsShow(t *testing.T) {
+	s := standIn(t)
+	c := client(t, s, "")
+	for i := range 3 {
+		s.Register(Node{Node: "n", Address: "127.0.0.1"}, Service{ID: string(rune('a' + i)), Service: "engine", Port: 1})
+	}
+	read := func(f Faults) (int, *api.QueryMeta, error) {
+		s.SetFaults(f)
+		list, meta, err := c.Health().Service("engine", "", false, nil)
+		return len(list), meta, err
+	}
+	n, was, err := read(Faults{})
+	require.NoError(t, err)
+	require.Equal(t, 3, n)
+	n, _, err = read(Faults{Empty: true})
+	require.NoError(t, err)
+	assert.Zero(t, n)
+	n, _, err = read(Faults{Partial: 2})
+	require.NoError(t, err)
+	assert.Equal(t, 2, n)
+	_, meta, err := read(Faults{Back: 5})
+	require.NoError(t, err)
+	assert.Less(t, meta.LastIndex, was.LastIndex)
+	_, meta, err = read(Faults{NoLeader: true, Lag: 3 * time.Second})
+	require.NoError(t, err)
+	assert.False(t, meta.KnownLeader)
+	assert.Equal(t, 3*time.Second, meta.LastContact)
+	for _, f := range []Faults{{Status: 500}, {Status: 429}, {Half: true}, {Garbage: true}} {
+		_, _, err := read(f)
+		assert.Error(t, err, f)
+	}
+	s.SetFaults(Faults{Stale: true})
+	s.Deregister("n", "a")
+	n, _, err = read(Faults{Stale: true})
+	require.NoError(t, err)
+	assert.Equal(t, 3, n)
+	n, _, err = read(Faults{})
+	require.NoError(t, err)
+	assert.Equal(t, 2, n)
+}
--- /dev/null
+++ b/internal/standin/consul/reads.go
@@ -0,0 +1,184 @@
+package consul
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+)
+
+// The bounds of a blocking query's wait.
+const (
+	defaultWait = 5 * time.Minute
+	mostWait    = 10 * time.Minute
+)
+
+// health answers GET /v1/health/service/NAME, with the faults in force.
+func (s *Server) health(w http.ResponseWriter, r *http.Request) {
+	name := r.PathValue("name")
+	s.mu.Lock()
+	s.reads++
+	s.mu.Unlock()
+	snap, f, ok := s.block(r, name)
+	if !ok {
+		return
+	}
+	if f.Delay > 0 && !sleep(r, f.Delay) {
+		return
+	}
+	if f.Hang {
+		<-r.Context().Done()
+		return
+	}
+	if f.Status > 0 {
+		text := "No cluster leader"
+		if f.Status == http.StatusTooManyRequests {
+			text = "Your IP is issuing too many concurrent connections"
+		}
+		http.Error(w, text, f.Status)
+		return
+	}
+	list := snap.list
+	if r.URL.Query().Has("passing") {
+		list = slices.DeleteFunc(slices.Clone(list), func(in Instance) bool {
+			return slices.ContainsFunc(in.Checks, func(c Check) bool { return c.Status != "passing" })
+		})
+	}
+	for _, tag := range r.URL.Query()["tag"] {
+		list = slices.DeleteFunc(slices.Clone(list), func(in Instance) bool { return !slices.Contains(in.Service.Tags, tag) })
+	}
+	switch {
+	case f.Empty:
+		list = []Instance{}
+	case f.Partial > 0:
+		list = list[:min(f.Partial, len(list))]
+	}
+	s.write(w, snap.index, f, list, func() {
+		s.mu.Lock()
+		told := s.answered
+		s.mu.Unlock()
+		if told != nil {
+			told(name, list)
+		}
+	})
+}
+
+// block waits as a blocking query does, and returns the state to answer with.
+func (s *Server) block(r *http.Request, name string) (snapshot, Faults, bool) {
+	q := r.URL.Query()
+	index, _ := strconv.ParseUint(q.Get("index"), 10, 64)
+	wait := defaultWait
+	if d, err := time.ParseDuration(q.Get("wait")); err == nil && d > 0 {
+		wait = min(d, mostWait)
+	}
+	timer := time.NewTimer(wait + wait/32)
+	defer timer.Stop()
+	for over := false; ; {
+		s.mu.Lock()
+		f, changed := s.faults, s.changed
+		snap := snapshot{max(s.byName[name], 1), s.list(name)}
+		if old, ok := s.stale[name]; ok && f.Stale {
+			snap = old
+		}
+		if f.Back > 0 {
+			snap.index -= min(f.Back, snap.index-1)
+		}
+		allowed := s.allowed(r)
+		s.mu.Unlock()
+		if !allowed {
+			return snap, Faults{Status: http.StatusForbidden}, true
+		}
+		// An index that lies ahead of ours is one from before a reset: it blocks nothing.
+		if index == 0 || snap.index != index || over || f.Status > 0 || f.Hang {
+			return snap, f, true
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			over = true
+		case <-r.Context().Done():
+			return snap, f, false
+		case <-s.stop:
+			return snap, f, false
+		}
+	}
+}
+
+func sleep(r *http.Request, d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+// write sends a list, and calls done once all of it has gone out.
+func (s *Server) write(w http.ResponseWriter, index uint64, f Faults, v any, done func()) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set("X-Consul-Index", strconv.FormatUint(index, 10))
+	h.Set("X-Consul-KnownLeader", strconv.FormatBool(!f.NoLeader))
+	h.Set("X-Consul-LastContact", strconv.FormatInt(f.Lag.Milliseconds(), 10))
+	switch {
+	case f.Garbage:
+		body = []byte("<html>502 somewhere between</html>")
+	case f.Half:
+		h.Set("Content-Length", strconv.Itoa(len(body)))
+		_, _ = w.Write(body[:len(body)/2])
+		panic(http.ErrAbortHandler)
+	}
+	if _, err := w.Write(body); err != nil {
+		return
+	}
+	if http.NewResponseController(w).Flush() == nil && done != nil && !f.Garbage {
+		done()
+	}
+}
+
+// state answers GET /v1/health/state/STATE.
+func (s *Server) state(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	index := s.index
+	list := []Check{}
+	for _, checks := range s.checks {
+		for _, c := range checks {
+			if state := r.PathValue("state"); state == "any" || state == c.Status {
+				list = append(list, c)
+			}
+		}
+	}
+	s.mu.Unlock()
+	s.write(w, index, Faults{}, list, nil)
+}
+
+// catalog answers GET /v1/catalog/service/NAME, which knows no checks.
+func (s *Server) catalog(w http.ResponseWriter, r *http.Request) {
+	type row struct {
+		ID, Node, Address, Datacenter          string
+		NodeMeta                               map[string]string
+		ServiceID, ServiceName, ServiceAddress string
+		ServicePort                            int
+		ServiceTags                            []string
+		ServiceMeta                            map[string]string
+		ServiceWeights                         Weights
+		CreateIndex, ModifyIndex               uint64
+	}
+	snap, _, ok := s.block(r, r.PathValue("name"))
+	if !ok {
+		return
+	}
+	rows := []row{}
+	for _, in := range snap.list {
+		rows = append(rows, row{in.Node.ID, in.Node.Node, in.Node.Address, in.Node.Datacenter, in.Node.Meta, in.Service.ID,
+			in.Service.Service, in.Service.Address, in.Service.Port, in.Service.Tags, in.Service.Meta, in.Service.Weights,
+			in.Service.CreateIndex, in.Service.ModifyIndex})
+	}
+	s.write(w, snap.index, Faults{}, rows, nil)
+}
