Drill the front end on a faulty catalogue, and give operators their tool

Need: rules under a catalogue that is slow, wrong, flapping or gone were shown by single tests only; operators had no tool, no settings file and no first minute. Change: internal/drill starts real front ends, stand-in engines and a stand-in Consul, draws faults from a seed and checks sockets only: answers, executions, late sends, attempts that overlap. beechctl (cobra) has drill, demo, config, list show and counters.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,10 @@
 export GOFLAGS = -buildvcs=false
 
-.PHONY: build test lint fuzz run
+.PHONY: demo build test check lint fuzz run drill
+
+# A front end with stand-in engines and a stand-in Consul on loopback, until Ctrl-C.
+demo: build
+	bin/beechctl demo
 
 build:
 	mkdir -p bin && go build -o bin/ ./cmd/...
@@ -8,10 +12,22 @@
 test:
 	bash .ci/run
 
+# What README's test command runs: form, vet, staticcheck, and all tests in release and debug builds with the race detector.
+check: lint
+	go build ./...
+	go build -tags lean -o /dev/null ./cmd/beechcart
+	go test -race -count=1 ./...
+	go test -race -count=1 -tags debug ./internal/... ./decision/...
+
 lint:
-	test -z "$$(gofmt -l .)"
-	go vet ./... && go vet -tags debug ./...
-	go run honnef.co/go/tools/cmd/staticcheck@v0.8.2 ./...
+	@unformatted=$$(gofmt -l .); test -z "$$unformatted" || { echo "not gofmt-clean: $$unformatted"; exit 1; }
+	go vet ./... && go vet -tags debug ./... && go vet -tags lean ./cmd/beechcart ./internal/source/...
+	go tool staticcheck ./...
+
+# make drill SEED=7 SECONDS=60
+SECONDS ?= 30
+drill: build
+	bin/beechctl drill catalogue --seconds $(SECONDS) $(if $(SEED),--seed $(SEED))
 
 fuzz:
 	go test -run '^$$' -fuzz '^FuzzParse$$' -fuzztime 20s ./internal/engine
@@ -19,6 +35,8 @@
 	go test -run '^$$' -fuzz '^FuzzParseLogin$$' -fuzztime 20s ./internal/mysql
 	go test -run '^$$' -fuzz '^FuzzParse$$' -fuzztime 20s ./internal/figure
 	go test -run '^$$' -fuzz '^FuzzRead$$' -fuzztime 20s ./internal/roster
+	go test -run '^$$' -fuzz '^FuzzDecode$$' -fuzztime 20s ./internal/source/consul
+	go test -run '^$$' -fuzz '^FuzzDecode$$' -fuzztime 20s ./internal/source/lastgood
 
 # make run CONFIG=path/to/config.json
 run: build
--- /dev/null
+++ b/cmd/beechctl/demo.go
@@ -0,0 +1,33 @@
+package main
+
+import (
+	"fmt"
+
+	"github.com/spf13/cobra"
+
+	"beechcart/internal/drill"
+)
+
+func demoCommand() *cobra.Command {
+	var o drill.DemoOptions
+	c := &cobra.Command{
+		Use: "demo", Short: "Start a front end with stand-in engines and a stand-in Consul, and run a few queries", Args: cobra.NoArgs,
+		Long: "demo starts all on loopback addresses, runs queries of each class, drains an engine and brings it back, prints the\n" +
+			"address for any MySQL client, and goes on until Ctrl-C.",
+		Example: "  beechctl demo\n  beechctl demo --once",
+		RunE: func(c *cobra.Command, _ []string) error {
+			var err error
+			if o.Program, err = drill.Program(o.Program); err != nil {
+				return err
+			}
+			o.Out = c.OutOrStdout()
+			if err := drill.Demo(c.Context(), o); err != nil {
+				return fmt.Errorf("demo: %w", err)
+			}
+			return nil
+		},
+	}
+	c.Flags().StringVar(&o.Program, "beechcart", "", "front end to start; none: the one beside this program")
+	c.Flags().BoolVar(&o.Once, "once", false, "end after the queries")
+	return c
+}
--- /dev/null
+++ b/cmd/beechctl/main.go
@@ -0,0 +1,65 @@
+// Command beechctl is the operators' tool: settings, the list of engines, drills and a demonstration. All that is heavy
+// is here, and not in the front end.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+)
+
+// The exit codes.
+const (
+	exitNo     = 1 // the answer is no: a rule was broken, a file is not good
+	exitFailed = 2 // it could not run: a wrong command line, nothing to read
+)
+
+// noError is an answer of no that has been told already.
+type noError struct{ error }
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	os.Exit(execute(ctx, os.Args[1:], os.Stdout, os.Stderr))
+}
+
+// execute runs one command line and returns the exit code.
+func execute(ctx context.Context, args []string, out, errs io.Writer) int {
+	root := &cobra.Command{
+		Use:           "beechctl",
+		Short:         "Operators' tool of beechcart",
+		Long:          "beechctl checks settings, shows what front ends believe, and drills them.\nExit codes: 0 yes, 1 no (a rule broken, a file not good), 2 could not run.",
+		SilenceErrors: true, SilenceUsage: true,
+	}
+	root.AddCommand(configCommand(), listCommand(), countersCommand(), drillCommand(), demoCommand())
+	root.SetArgs(args)
+	root.SetOut(out)
+	root.SetErr(errs)
+	err := root.ExecuteContext(ctx)
+	var no noError
+	switch {
+	case err == nil:
+		return 0
+	case errors.As(err, &no):
+		if no.error != nil {
+			fmt.Fprintln(errs, no.error)
+		}
+		return exitNo
+	}
+	fmt.Fprintln(errs, "beechctl:", err)
+	return exitFailed
+}
+
+// printJSON prints one indented document.
+func printJSON(w io.Writer, v any) error {
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	return e.Encode(v)
+}
--- a/decision/membership/api.go
+++ b/decision/membership/api.go
@@ -69,6 +69,12 @@
 	Started time.Duration // Unix time, or 0: long ago; another one than before is another process
 }
 
+// plain is what of a change matters to those who send.
+func (c Change) plain() Change {
+	c.Reason, c.Passing, c.Drain, c.Created, c.Mark, c.Entry.Started = "", false, false, 0, "", 0
+	return c
+}
+
 // Notice is a line for people: what happened to the list as a whole.
 type Notice struct {
 	Kind   NoticeKind
--- a/decision/membership/property_test.go
+++ b/decision/membership/property_test.go
@@ -59,9 +59,9 @@
 		steps := rapid.IntRange(1, 60).Draw(t, "steps")
 		for range steps {
 			w.now += time.Duration(rapid.Int64Range(0, int64(5*time.Second)).Draw(t, "passes"))
+			take(w.set.Advance(w.now)) // what time alone changes is no word's doing
+			w.check(t, ready)
 			if rapid.IntRange(0, 4).Draw(t, "idle") == 0 {
-				take(w.set.Advance(w.now))
-				w.check(t, ready)
 				continue
 			}
 			o := Observation{
--- a/decision/membership/set.go
+++ b/decision/membership/set.go
@@ -129,7 +129,7 @@
 	var a Answer
 	list, bad := clean(o.Entries)
 	s.obeyDrains(list, o.Index)
-	if !s.trust(&a, o, len(list)) {
+	if !s.trust(&a, o, list) {
 		s.passedOver(&a, bad)
 		return s.answer(a)
 	}
@@ -213,7 +213,8 @@
 }
 
 // trust decides whether an observation may do more than drain, and finds index resets (invariant 6).
-func (s *Set) trust(a *Answer, o Observation, entries int) bool {
+func (s *Set) trust(a *Answer, o Observation, list []Entry) bool {
+	entries := len(list)
 	sound := o.Index > 0 && o.Leader && o.Lag <= s.set.MaxLag
 	if !s.known {
 		// Nothing is known yet: any engine is better than none.
@@ -236,6 +237,8 @@
 	}
 	a.Notices = append(a.Notices, Notice{EpochBegun, entries, fmt.Sprintf("from %d to %d", s.index, o.Index)})
 	s.epoch()
+	// Guards against a drain that this very observation tells: it belongs to the new epoch.
+	s.obeyDrains(list, o.Index)
 	s.index = 0
 	delete(s.warned, OldWord)
 	return true
@@ -413,8 +416,11 @@
 		if m.listed && c == m.told {
 			continue
 		}
-		fresh := !m.listed
+		fresh, plain := !m.listed, m.listed && c.plain() == m.told.plain()
 		m.told, m.listed = c, true
+		if plain {
+			continue // another reason for the same state is nobody's news but Beliefs'
+		}
 		if c.State == Gone {
 			delete(s.members, m.Key)
 			delete(s.numbers, m.id)
--- a/decision/membership/set_test.go
+++ b/decision/membership/set_test.go
@@ -183,6 +183,20 @@
 	assert.EqualValues(t, 15, s.Index())
 }
 
+// Guards against a drain that is told by the observation that begins an epoch, and lifted by the next of that index.
+func TestDrainOfTheFirstWordOfAnEpochHolds(t *testing.T) {
+	s, all := fresh(t), fleet(8)
+	s.Observe(second, at(1000, all))
+	for i := range 12 {
+		s.Observe(time.Duration(i+2)*second, at(5, with(all, 0, drain)))
+	}
+	require.EqualValues(t, 5, s.Index())
+	s.Observe(20*second, at(5, all))
+	assert.Equal(t, 1, states(s)["draining, drain commanded"])
+	s.Observe(21*second, at(6, all))
+	assert.Equal(t, 8, states(s)["ready, passing"])
+}
+
 // Guards against a lagging follower whose answers alternate with the leader's.
 func TestAlternatingFollowerIsNoReset(t *testing.T) {
 	s, all := fresh(t), fleet(8)
--- /dev/null
+++ b/internal/drill/checker.go
@@ -0,0 +1,127 @@
+package drill
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"beechcart/internal/standin/engine"
+)
+
+// DrainGrace is how long after the word of a drain a send may still come.
+const DrainGrace = 500 * time.Millisecond
+
+// Drains remembers when engines were told to drain, and when that was lifted. It is safe for concurrent use.
+type Drains struct {
+	mu   sync.Mutex
+	list map[string][]drainSpan
+}
+
+type drainSpan struct{ told, lifted time.Time } // lifted is zero while it holds
+
+// Told tells that a front end was told so at that time; what it was told before counts.
+func (d *Drains) Told(name string, at time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.list == nil {
+		d.list = map[string][]drainSpan{}
+	}
+	if spans := d.list[name]; len(spans) == 0 || !spans[len(spans)-1].lifted.IsZero() {
+		d.list[name] = append(spans, drainSpan{told: at})
+	}
+}
+
+// Lifted tells that the drain was taken back at that time, whoever has heard of it.
+func (d *Drains) Lifted(name string, at time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if spans := d.list[name]; len(spans) > 0 && spans[len(spans)-1].lifted.IsZero() {
+		spans[len(spans)-1].lifted = at
+	}
+}
+
+// late tells whether a send at that time broke the promise, and by how much.
+func (d *Drains) late(name string, sent time.Time) (time.Duration, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, s := range d.list[name] {
+		if by := sent.Sub(s.told.Add(DrainGrace)); by > 0 && (s.lifted.IsZero() || sent.Before(s.lifted)) {
+			return by, true
+		}
+	}
+	return 0, false
+}
+
+// Breach is one broken rule.
+type Breach struct {
+	Rule string    `json:"rule"`
+	At   time.Time `json:"at"`
+	ID   string    `json:"id"`
+	Text string    `json:"text"`
+}
+
+// The rules, by the names that reports use.
+const (
+	LateSends     = "late_sends"     // sends to an engine later than DrainGrace after the word of its drain
+	DoubleRuns    = "double_runs"    // unsafe requests that were executed more than once
+	TwoOut        = "two_out"        // requests with two executions at a time
+	UnansweredOne = "unanswered"     // requests without an answer in their time
+	DoubleAnswers = "double_answers" // answers that nobody asked for
+	WrongAnswers  = "wrong_answers"  // answers that no engine made for the request
+	FalsePromises = "false_promises" // unsafe requests refused as harmless to repeat that were executed
+	NoEngine      = "no_engine"      // instants with no engine ready while one was alive
+	Crashes       = "crashes"        // front ends that ended by themselves, or counted a broken invariant
+)
+
+// Rules lists them all.
+var Rules = []string{LateSends, DoubleRuns, TwoOut, UnansweredOne, DoubleAnswers, WrongAnswers, FalsePromises, NoEngine, Crashes}
+
+// answerSlack is how late an answer may be on a busy machine and still count as given in time.
+const answerSlack = 250 * time.Millisecond
+
+// Check holds what clients got against what engines ran. It looks at sockets only: a request is what a client sent, an
+// execution what an engine took in.
+func Check(classes []Class, requests []Request, runs []engine.Execution, drains *Drains, surplus []string) []Breach {
+	var out []Breach
+	breach := func(rule string, at time.Time, id, format string, args ...any) {
+		out = append(out, Breach{rule, at, id, fmt.Sprintf(format, args...)})
+	}
+	byID := map[string][]engine.Execution{}
+	for _, x := range runs {
+		byID[x.ID] = append(byID[x.ID], x)
+		if by, late := drains.late(x.Engine, x.Sent); late {
+			breach(LateSends, x.Sent, x.ID, "%s got it %v after the grace", x.Engine, by.Round(time.Millisecond))
+		}
+	}
+	for _, r := range requests {
+		c := classes[r.Class]
+		list := byID[r.ID]
+		slices.SortFunc(list, func(a, b engine.Execution) int { return cmp.Compare(a.Sent.UnixNano(), b.Sent.UnixNano()) })
+		for i := 1; i < len(list); i++ {
+			if prev := list[i-1]; prev.Ended.IsZero() || prev.Ended.After(list[i].Sent) {
+				breach(TwoOut, list[i].Sent, r.ID, "on %s while it ran on %s", list[i].Engine, prev.Engine)
+			}
+		}
+		if c.Unsafe && len(list) > 1 {
+			breach(DoubleRuns, list[1].Sent, r.ID, "%s was executed %d times", c.Name, len(list))
+		}
+		switch {
+		case r.Outcome == Unanswered:
+			breach(UnansweredOne, r.Due, r.ID, "%s after %v: %s", c.Name, r.Latency.Round(time.Millisecond), r.Detail)
+		case r.Latency > c.Wait+answerSlack && r.Sent.Sub(r.Due) < answerSlack:
+			breach(UnansweredOne, r.Due, r.ID, "%s %s after %v of %v", c.Name, r.Outcome, r.Latency.Round(time.Millisecond), c.Wait)
+		case r.Outcome == Wrong:
+			breach(WrongAnswers, r.Due, r.ID, "%s", r.Detail)
+		case r.Outcome == Served && !slices.ContainsFunc(list, func(x engine.Execution) bool { return x.Good }):
+			breach(WrongAnswers, r.Due, r.ID, "served, and no engine has ended it well")
+		case r.Outcome == Refused && c.Unsafe && len(list) > 0:
+			breach(FalsePromises, r.Due, r.ID, "%s was refused and had been executed on %s", c.Name, list[0].Engine)
+		}
+	}
+	for _, s := range surplus {
+		breach(DoubleAnswers, time.Time{}, "", "%s", s)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/operators/cuefile/schema.cue
@@ -0,0 +1,84 @@
+// The operators' settings. Times end in _ms (milliseconds), sizes in _mb. A field that is left out has the value
+// after the star; docs/consul.md gives the reason of each.
+
+#Settings: {
+	// where the engine list comes from: "changelog" is the platform's
+	source: *"changelog" | "consul"
+
+	log: {
+		level:  *"info" | "debug" | "warn" | "error"
+		format: *"text" | "json"
+	}
+
+	consul: {
+		// servers or agents, tried in turn: HOST:PORT, or https://HOST:PORT
+		addresses:  [...=~"^(https?://)?[^/:]+:[0-9]+/?$" | =~"^(https?://)?\\[[0-9a-fA-F:.]+\\]:[0-9]+/?$"] | *["127.0.0.1:8500"]
+		service:    (string & !="") | *"engine"
+		datacenter: string | *""
+		namespace:  string | *""
+		tag:        string | *""
+		filter:     string | *""
+		// ask for passing instances only; a failing check then looks like a deregistration
+		passing:     bool | *false
+		consistency: *"default" | "stale" | "consistent"
+
+		// files; "" is none
+		token_file:  string | *""
+		ca_file:     string | *""
+		server_name: string | *""
+		cert_file:   string | *""
+		key_file:    string | *""
+
+		max_body_mb:    (int & >=1 & <=1024) | *64
+		connect_ms:     (int & >=10 & <=10000) | *500
+		wait_ms:        (int & >=500 & <=600000) | *5000
+		slack_ms:       (int & >=100 & <=60000) | *1500
+		confirm_ms:     (int & >=100 & <=60000) | *2000
+		min_gap_ms:     (int & >=1 & <=10000) | *10
+		max_read_share: (number & >0 & <=1) | *0.2
+		min_pause_ms:   (int & >=10 & <=60000) | *100
+		max_pause_ms:   (int & >=10 & <=600000) | *3000
+		hold_ms:        (int & >=1000 & <=3600000) | *30000
+
+		// where the fields of an engine stand: "meta:KEY", "node_meta:KEY", "tag:PREFIX", "datacenter" or ""
+		map: {
+			#place:     "" | "datacenter" | =~"^(meta|node_meta|tag):."
+			zone:       #place | *"meta:zone"
+			kind:       #place | *"meta:kind"
+			cell:       #place | *"meta:cell"
+			weight:     #place | *""
+			mark:       #place | *"meta:start"
+			started:    #place | *"meta:started_ms"
+			drain_tag:  string | *"draining"
+			drain_meta: string | *"draining"
+		}
+	}
+
+	membership: {
+		max_lag_ms:       (int & >=1 & <=600000) | *2000
+		max_out:          (number & >=0 & <=1) | *0.25
+		max_loss:         (number & >=0 & <=1) | *0.25
+		loss_window_ms:   (int & >=1 & <=3600000) | *10000
+		confirm_reads:    (int & >=1 & <=1000) | *3
+		confirm_after_ms: (int & >=1 & <=3600000) | *10000
+		doubt_for_ms:     (int & >=1 & <=86400000) | *60000
+		reset_after_ms:   (int & >=1 & <=3600000) | *10000
+		penalty:          (number & >0 & <=1000) | *1
+		half_life_ms:     (int & >=1 & <=3600000) | *15000
+		suppress:         (number & >0 & <=1000) | *2.5
+		reuse:            (number & >0 & <=1000) | *0.75
+		max_suppress_ms:  (int & >=1 & <=86400000) | *60000
+		linger_ms:        (int & >=1 & <=3600000) | *30000
+	}
+
+	last_good: {
+		// "" keeps no list; needs a disk that outlives the program
+		path:           string | *""
+		write_every_ms: (int & >=1 & <=3600000) | *1000
+		// 0 is any age
+		max_age_ms: (int & >=0 & <=604800000) | *86400000
+	}
+
+	// path of a local socket for beechctl; "" is none
+	admin_socket: string | *""
+}
--- /dev/null
+++ b/internal/standin/changelog/changelog.go
@@ -0,0 +1,83 @@
+// Package changelog is a stand-in for the platform's change log, on a loopback address.
+package changelog
+
+import (
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Endpoint is one engine of an event.
+type Endpoint struct {
+	Name, Address, Zone, Type, Status string
+	SinceMS                           int64
+}
+
+// Log is one change log. It is safe for concurrent use.
+type Log struct {
+	Addr string
+
+	mu      sync.Mutex
+	events  []string
+	changed chan struct{}
+	http    *http.Server
+}
+
+// Start serves an empty log at an address of 127.0.0.0/8.
+func Start(addr string) (*Log, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	c := &Log{Addr: l.Addr().String(), changed: make(chan struct{})}
+	c.http = &http.Server{Handler: http.HandlerFunc(c.changes), ErrorLog: log.New(io.Discard, "", 0)}
+	go func() { _ = c.http.Serve(l) }()
+	return c, nil
+}
+
+// Close ends the log and every connection.
+func (c *Log) Close() { _ = c.http.Close() }
+
+// Tell adds an event; complete lists replace all that was told.
+func (c *Log) Tell(complete bool, list ...Endpoint) {
+	var items []string
+	for _, e := range list {
+		items = append(items, fmt.Sprintf(`{"name":%q,"address":%q,"zone":%q,"type":%q,"group":0,"status":%q,"weight":1,"since_ms":%d}`,
+			e.Name, e.Address, e.Zone, e.Type, e.Status, e.SinceMS))
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.events = append(c.events, fmt.Sprintf(`{"seq":%d,"fleet":{"index":1,"snapshot":%t,"endpoints":[%s]}}`,
+		len(c.events)+1, complete, strings.Join(items, ",")))
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+func (c *Log) changes(w http.ResponseWriter, r *http.Request) {
+	since, _ := strconv.Atoi(r.URL.Query().Get("since"))
+	ms, _ := strconv.Atoi(r.URL.Query().Get("timeout"))
+	timer := time.NewTimer(time.Duration(min(ms, 5000)) * time.Millisecond)
+	defer timer.Stop()
+	for over := false; ; {
+		c.mu.Lock()
+		events, changed := c.events, c.changed
+		c.mu.Unlock()
+		if len(events) > since || over {
+			fmt.Fprintf(w, `{"seq":%d,"results":[%s]}`, len(events), strings.Join(events[min(since, len(events)):], ","))
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			over = true
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
