--- /dev/null
+++ b/internal/bench/systrace/systrace.go
@@ -0,0 +1,217 @@
+//go:build linux
+
+// Package systrace counts the system calls of a running process, each one and by name, with ptrace(2): nothing is
+// sampled. The process runs slower while it is traced, so counts may be trusted and times may not.
+package systrace
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"runtime"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"unsafe"
+
+	"golang.org/x/sys/unix"
+)
+
+// Counter counts for one process. Its methods are safe for concurrent use.
+type Counter struct {
+	pid     int
+	stop    atomic.Bool
+	stopped chan struct{}
+
+	mu     sync.Mutex
+	counts map[uint64]int64
+	err    error
+}
+
+const getSyscallInfo = 0x420e // PTRACE_GET_SYSCALL_INFO, Linux 5.3
+
+// syscallInfo is struct ptrace_syscall_info up to the number of the call.
+type syscallInfo struct {
+	op   uint8
+	_    [3]uint8
+	arch uint32
+	ip   uint64
+	sp   uint64
+	nr   uint64
+	args [6]uint64
+}
+
+const opEntry = 1 // PTRACE_SYSCALL_INFO_ENTRY
+
+// Attach begins to count the calls of a process and all its threads, those to come included.
+func Attach(pid int) (*Counter, error) {
+	c := &Counter{pid: pid, stopped: make(chan struct{}), counts: map[uint64]int64{}}
+	ready := make(chan error, 1)
+	go c.run(ready)
+	if err := <-ready; err != nil {
+		return nil, fmt.Errorf("systrace: %w", err)
+	}
+	return c, nil
+}
+
+// Counts returns the calls so far, by name.
+func (c *Counter) Counts() map[string]int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := make(map[string]int64, len(c.counts))
+	for nr, n := range c.counts {
+		out[name(nr)] += n
+	}
+	return out
+}
+
+// Detach lets the process go on untraced.
+func (c *Counter) Detach() error {
+	c.stop.Store(true)
+	// Wakes the tracer: Go programs take SIGURG for their own preemption at any time.
+	_ = unix.Kill(c.pid, unix.SIGURG)
+	<-c.stopped
+	return c.err
+}
+
+func threads(pid int) ([]int, error) {
+	list, err := os.ReadDir(fmt.Sprintf("/proc/%d/task", pid))
+	if err != nil {
+		return nil, err
+	}
+	var out []int
+	for _, e := range list {
+		if tid, err := strconv.Atoi(e.Name()); err == nil {
+			out = append(out, tid)
+		}
+	}
+	return out, nil
+}
+
+// seize attaches to all threads that there are, again until no new one has come meanwhile.
+func (c *Counter) seize() (map[int]bool, error) {
+	const options = unix.PTRACE_O_TRACESYSGOOD | unix.PTRACE_O_TRACECLONE
+	held := map[int]bool{}
+	for {
+		list, err := threads(c.pid)
+		if err != nil {
+			return nil, err
+		}
+		fresh := false
+		for _, tid := range list {
+			if held[tid] {
+				continue
+			}
+			fresh = true
+			held[tid] = true
+			// EPERM tells a thread that a traced one has started: it is attached already.
+			if err := ptrace(unix.PTRACE_SEIZE, tid, 0, options); err != nil && !errors.Is(err, unix.EPERM) && !errors.Is(err, unix.ESRCH) {
+				return nil, fmt.Errorf("seize thread %d: %w", tid, err)
+			}
+			_ = ptrace(unix.PTRACE_INTERRUPT, tid, 0, 0)
+		}
+		if !fresh {
+			return held, nil
+		}
+	}
+}
+
+func ptrace(request, tid int, addr, data uintptr) error {
+	if _, _, errno := unix.Syscall6(unix.SYS_PTRACE, uintptr(request), uintptr(tid), addr, data, 0, 0); errno != 0 {
+		return errno
+	}
+	return nil
+}
+
+// run is the tracer: all calls of ptrace must come from its one thread, which ends with it.
+func (c *Counter) run(ready chan<- error) {
+	runtime.LockOSThread()
+	defer close(c.stopped)
+	held, err := c.seize()
+	if ready <- err; err != nil {
+		return
+	}
+	left := false // the threads are being let go
+	for len(held) > 0 {
+		var ws unix.WaitStatus
+		tid, err := unix.Wait4(-1, &ws, unix.WALL|unix.WNOTHREAD, nil)
+		switch {
+		case errors.Is(err, unix.EINTR):
+			continue
+		case err != nil:
+			if !errors.Is(err, unix.ECHILD) {
+				c.err = err
+			}
+			return
+		case ws.Exited() || ws.Signaled():
+			delete(held, tid)
+			continue
+		}
+		held[tid] = true
+		if c.stop.Load() && !left {
+			left = true
+			for other := range held {
+				if other != tid {
+					_ = ptrace(unix.PTRACE_INTERRUPT, other, 0, 0)
+				}
+			}
+		}
+		c.step(tid, ws, left)
+		if left {
+			delete(held, tid)
+		}
+	}
+}
+
+// step takes one stop of a thread, and lets it go on.
+func (c *Counter) step(tid int, ws unix.WaitStatus, left bool) {
+	signal := uintptr(0)
+	switch sig := ws.StopSignal(); {
+	case sig == unix.SIGTRAP|0x80:
+		c.count(tid)
+	case uint32(ws)>>16 != 0: // a ptrace event: a thread was started, or ours has been interrupted
+	default:
+		signal = uintptr(sig)
+	}
+	request := unix.PTRACE_SYSCALL
+	if left {
+		request = unix.PTRACE_DETACH
+	}
+	_ = ptrace(request, tid, 0, signal)
+}
+
+func (c *Counter) count(tid int) {
+	var info syscallInfo
+	_, _, errno := unix.Syscall6(unix.SYS_PTRACE, getSyscallInfo, uintptr(tid), unsafe.Sizeof(info), uintptr(unsafe.Pointer(&info)), 0, 0)
+	if errno != 0 || info.op != opEntry {
+		return
+	}
+	c.mu.Lock()
+	c.counts[info.nr]++
+	c.mu.Unlock()
+}
+
+// names are the calls that a Go network program makes.
+var names = map[uint64]string{
+	unix.SYS_READ: "read", unix.SYS_WRITE: "write", unix.SYS_READV: "readv", unix.SYS_WRITEV: "writev", unix.SYS_CLOSE: "close",
+	unix.SYS_SOCKET: "socket", unix.SYS_CONNECT: "connect", unix.SYS_ACCEPT: "accept", unix.SYS_ACCEPT4: "accept4",
+	unix.SYS_SENDTO: "sendto", unix.SYS_RECVFROM: "recvfrom", unix.SYS_SENDMSG: "sendmsg", unix.SYS_RECVMSG: "recvmsg",
+	unix.SYS_SHUTDOWN: "shutdown", unix.SYS_BIND: "bind", unix.SYS_LISTEN: "listen", unix.SYS_GETSOCKNAME: "getsockname",
+	unix.SYS_GETPEERNAME: "getpeername", unix.SYS_SETSOCKOPT: "setsockopt", unix.SYS_GETSOCKOPT: "getsockopt",
+	unix.SYS_EPOLL_CTL: "epoll_ctl", unix.SYS_EPOLL_PWAIT: "epoll_pwait", unix.SYS_EPOLL_CREATE1: "epoll_create1",
+	unix.SYS_EPOLL_PWAIT2: "epoll_pwait2",
+	unix.SYS_FUTEX:        "futex", unix.SYS_NANOSLEEP: "nanosleep", unix.SYS_SCHED_YIELD: "sched_yield", unix.SYS_MADVISE: "madvise",
+	unix.SYS_MMAP: "mmap", unix.SYS_MUNMAP: "munmap", unix.SYS_FCNTL: "fcntl", unix.SYS_TGKILL: "tgkill", unix.SYS_GETPID: "getpid",
+	unix.SYS_CLONE: "clone", unix.SYS_RT_SIGRETURN: "rt_sigreturn", unix.SYS_RT_SIGPROCMASK: "rt_sigprocmask",
+	unix.SYS_SIGALTSTACK: "sigaltstack", unix.SYS_EVENTFD2: "eventfd2", unix.SYS_RESTART_SYSCALL: "restart_syscall",
+}
+
+func name(nr uint64) string {
+	if n, ok := names[nr]; ok {
+		return n
+	}
+	if n, ok := more[nr]; ok {
+		return n
+	}
+	return "call_" + strconv.FormatUint(nr, 10)
+}
--- a/internal/drill/catalogue.go
+++ b/internal/drill/catalogue.go
@@ -430,7 +430,7 @@
 	enough()
 	players.Wait()
 	<-progress
-	usage := processTimes(f.Pid())
+	usage := CPUSeconds(f.Pid())
 	stopped := f.Stop()
 	if ctx.Err() != nil {
 		return nil, ctx.Err()
@@ -492,8 +492,8 @@
 	return false
 }
 
-// processTimes is the CPU time of a process so far, in seconds.
-func processTimes(pid int) float64 {
+// CPUSeconds is the CPU time of a process so far, in seconds.
+func CPUSeconds(pid int) float64 {
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
 	if err != nil {
 		return 0
