Count what requests cost, and hold allocations and copies to a baseline

A test builds the front end with one allocation or one copy more and sees the gate fail. bench speed and bench idle measure CPU, throughput and idle sessions; the operators' settings have the idle time and the number of sessions. systrace is not wired: after tracing, the front end did not end on SIGTERM.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 export GOFLAGS = -buildvcs=false
 
-.PHONY: demo build test check lint fuzz run drill
+.PHONY: demo build test check lint fuzz run drill cheap cheap-record
 
 # A front end with stand-in engines and a stand-in Consul on loopback, until Ctrl-C.
 demo: build
@@ -13,7 +13,7 @@
 	bash .ci/run
 
 # What README's test command runs: form, vet, staticcheck, and all tests in release and debug builds with the race detector.
-check: lint
+check: lint cheap
 	go build ./...
 	go build -tags lean -o /dev/null ./cmd/beechcart
 	go test -race -count=1 ./...
@@ -24,6 +24,15 @@
 	go vet ./... && go vet -tags debug ./... && go vet -tags lean ./cmd/beechcart ./internal/source/...
 	go tool staticcheck ./...
 
+# Counts what requests cost and holds them to bench/baseline.json.
+cheap: build
+	go build -tags count -o bin/beechcart-count ./cmd/beechcart
+	bin/beechctl bench path --counting bin/beechcart-count --gate bench/baseline.json
+
+cheap-record: build
+	go build -tags count -o bin/beechcart-count ./cmd/beechcart
+	bin/beechctl bench path --counting bin/beechcart-count --record bench/baseline.json
+
 # make drill SEED=7 SECONDS=60
 SECONDS ?= 30
 drill: build
--- a/cmd/beechcart/run.go
+++ b/cmd/beechcart/run.go
@@ -17,6 +17,8 @@
 
 	"beechcart/admission"
 	"beechcart/internal/admin"
+	"beechcart/internal/copies"
+	"beechcart/internal/door"
 	"beechcart/internal/engine"
 	"beechcart/internal/invariant"
 	"beechcart/internal/mysql"
@@ -65,7 +67,7 @@
 		ConnectTimeout: cfg.ConnectTimeout, Sockets: cfg.Sockets / 2, Counters: counters,
 	}, plan)
 	front, err := mysql.New(mysql.Options{
-		Names: cfg.Names, Sessions: cfg.Sockets * 2 / 5, Counters: counters, Log: log,
+		Names: cfg.Names, Sessions: ops.Clients.Sessions(cfg.Sockets), Idle: ops.Clients.Idle, Counters: counters, Log: log,
 	}, plan)
 	if err != nil {
 		return err
@@ -97,6 +99,9 @@
 		defer door.Close()
 		log.Info("admin socket", "path", ops.AdminSocket)
 	}
+	if err := door.Open(func(f *door.Figures) { f.Counters, f.Copies = counters.Map(), copies.Counts() }); err != nil {
+		return err
+	}
 	go report(ctx, counters, log)
 
 	served := make(chan error, 1)
--- a/cmd/beechctl/bench.go
+++ b/cmd/beechctl/bench.go
@@ -1,10 +1,14 @@
 package main
 
 import (
+	"errors"
 	"fmt"
+	"io"
 	"maps"
 	"slices"
+	"strings"
 	"text/tabwriter"
+	"time"
 
 	"github.com/spf13/cobra"
 
@@ -47,6 +51,143 @@
 	f.IntVar(&o.Changes, "changes", 50, "changes that are told after it, one at a time")
 	f.StringVar(&o.Program, "beechcart", "", "front end to start; none: the one beside this program")
 	f.BoolVar(&asJSON, "json", false, "print one JSON object")
-	root.AddCommand(list)
+	root.AddCommand(list, pathCommand(), speedCommand(), idleCommand())
 	return root
 }
+
+func pathCommand() *cobra.Command {
+	var o bench.PathOptions
+	var asJSON bool
+	var gate, record string
+	c := &cobra.Command{
+		Use: "path", Short: "Count allocations and copies of each kind of request", Args: cobra.NoArgs,
+		Long: "path runs a release build of the front end against stand-in engines, with one client that asks one thing after the\n" +
+			"other, and counts what one request costs. Costs that come by time (polls, timers) are measured while nothing is\n" +
+			"asked, and taken off.",
+		Example: "  beechctl bench path\n  beechctl bench path --gate bench/baseline.json\n  beechctl bench path --record bench/baseline.json",
+		RunE: func(c *cobra.Command, _ []string) error {
+			var err error
+			if o.Program, err = drill.Program(o.Program); err != nil {
+				return err
+			}
+			var held *bench.Baseline
+			if gate != "" {
+				if held, err = bench.ReadBaseline(gate); err != nil {
+					return err
+				}
+			}
+			counts, err := bench.Path(c.Context(), o, func(name string) { fmt.Fprintln(c.ErrOrStderr(), "counting", name) })
+			if err != nil {
+				return err
+			}
+			if asJSON {
+				err = printJSON(c.OutOrStdout(), counts)
+			} else {
+				err = writeCounts(c.OutOrStdout(), counts)
+			}
+			if err == nil && record != "" {
+				err = bench.WriteBaseline(record, counts, o)
+			}
+			if err != nil || held == nil {
+				return err
+			}
+			if risen := held.Compare(counts); len(risen) > 0 {
+				return noError{errors.New(strings.Join(risen, "\n"))}
+			}
+			_, err = fmt.Fprintln(c.OutOrStdout(), "every count is within its baseline")
+			return err
+		},
+	}
+	f := c.Flags()
+	f.IntVar(&o.Lookups, "lookups", 1000, "lookups in each count; larger requests are fewer")
+	f.IntVar(&o.Engines, "engines", 1, "stand-in engines")
+	f.StringVar(&o.Program, "beechcart", "", "release build of the front end; none: the one beside this program")
+	f.StringVar(&o.Counting, "counting", "", "build with the tag count, for the copies; none: they are not counted")
+	f.StringVar(&o.Only, "only", "", "one scenario; none: all")
+	f.StringVar(&gate, "gate", "", "baseline to hold the counts to: exit code 1 where one has risen by more than a tenth, or by more than half of one")
+	f.StringVar(&record, "record", "", "baseline to write")
+	f.BoolVar(&asJSON, "json", false, "print one JSON object")
+	return c
+}
+
+func writeCounts(w io.Writer, counts map[string]bench.Counts) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	for _, s := range bench.Scenarios {
+		fmt.Fprintf(t, "%s\n", s.Name)
+		for _, name := range slices.Sorted(maps.Keys(counts[s.Name])) {
+			fmt.Fprintf(t, "  %s\t%.2f\n", name, counts[s.Name][name])
+		}
+	}
+	return t.Flush()
+}
+
+func speedCommand() *cobra.Command {
+	var o bench.SpeedOptions
+	var against string
+	var rounds int
+	c := &cobra.Command{
+		Use: "speed", Short: "CPU for each lookup and throughput of one core, two builds alternating", Args: cobra.NoArgs,
+		Example: "  beechctl bench speed --against old/beechcart --rounds 5",
+		RunE: func(c *cobra.Command, _ []string) error {
+			var err error
+			if o.Program, err = drill.Program(o.Program); err != nil {
+				return err
+			}
+			t := tabwriter.NewWriter(c.OutOrStdout(), 0, 0, 2, ' ', 0)
+			fmt.Fprintln(t, "ROUND\tBUILD\tCPU us/LOOKUP\tLOOKUPS/s\tP50 ms\tP99 ms\tP99.9 ms")
+			for round := range rounds {
+				for _, program := range []string{against, o.Program} {
+					if program == "" {
+						continue
+					}
+					one := o
+					one.Program = program
+					s, err := bench.Measure(c.Context(), one)
+					if err != nil {
+						return err
+					}
+					fmt.Fprintf(t, "%d\t%s\t%.1f\t%.0f\t%.3f\t%.3f\t%.3f\n", round+1, program, s.CPUPerLookup, s.Saturated, s.P50, s.P99, s.P999)
+				}
+			}
+			return t.Flush()
+		},
+	}
+	f := c.Flags()
+	f.StringVar(&o.Program, "beechcart", "", "front end to measure; none: the one beside this program")
+	f.StringVar(&against, "against", "", "another build, measured in turn with it")
+	f.IntVar(&rounds, "rounds", 1, "how often")
+	f.IntVar(&o.Engines, "engines", 4, "stand-in engines")
+	f.IntVar(&o.Sessions, "sessions", 16, "sessions of the closed loop")
+	f.DurationVar(&o.For, "for", 2*time.Second, "how long each part goes on")
+	f.Float64Var(&o.Rate, "rate", 2000, "open arrivals a second; 0 leaves them out")
+	f.IntVar(&o.Idle, "idle", 0, "further sessions that do nothing")
+	return c
+}
+
+func idleCommand() *cobra.Command {
+	var program string
+	var n int
+	c := &cobra.Command{
+		Use: "idle", Short: "What sessions that do nothing cost", Args: cobra.NoArgs,
+		Example: "  beechctl bench idle --sessions 10000",
+		RunE: func(c *cobra.Command, _ []string) error {
+			var err error
+			if program, err = drill.Program(program); err != nil {
+				return err
+			}
+			if n < 1 || n > 100_000 {
+				return fmt.Errorf("sessions: found %d, allowed is 1 to 100000", n)
+			}
+			i, err := bench.MeasureIdle(c.Context(), program, n)
+			if err != nil {
+				return err
+			}
+			_, err = fmt.Fprintf(c.OutOrStdout(), "sessions %d\nbytes each %.0f\nCPU ms a second %.2f\nclosed all at once, forgotten after %.2f s\n",
+				i.Sessions, i.BytesEach, i.CPUPerS, i.CloseAllFor)
+			return err
+		},
+	}
+	c.Flags().StringVar(&program, "beechcart", "", "front end to measure; none: the one beside this program")
+	c.Flags().IntVar(&n, "sessions", 10000, "idle sessions")
+	return c
+}
--- /dev/null
+++ b/internal/bench/gate_test.go
@@ -0,0 +1,104 @@
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// built builds the front end, with replacements in one file.
+func built(t *testing.T, dir, name, file string, replace []string, tags ...string) string {
+	root, err := filepath.Abs("../..")
+	require.NoError(t, err)
+	out := filepath.Join(dir, name)
+	args := []string{"build", "-buildvcs=false", "-o", out}
+	if len(tags) > 0 {
+		args = append(args, "-tags", strings.Join(tags, ","))
+	}
+	if len(replace) > 0 {
+		path := filepath.Join(root, file)
+		text, err := os.ReadFile(path)
+		require.NoError(t, err)
+		for i := 0; i < len(replace); i += 2 {
+			require.Contains(t, string(text), replace[i])
+		}
+		changed := filepath.Join(dir, name+".go")
+		require.NoError(t, os.WriteFile(changed, []byte(strings.NewReplacer(replace...).Replace(string(text))), 0o600))
+		overlay, err := json.Marshal(map[string]map[string]string{"Replace": {path: changed}})
+		require.NoError(t, err)
+		list := filepath.Join(dir, name+".json")
+		require.NoError(t, os.WriteFile(list, overlay, 0o600))
+		args = append(args, "-overlay", list)
+	}
+	cmd := exec.Command("go", append(args, "beechcart/cmd/beechcart")...)
+	msg, err := cmd.CombinedOutput()
+	require.NoError(t, err, string(msg))
+	return out
+}
+
+// Guards against a gate that holds nothing: one allocation or one copy more must fail it.
+func TestGateFindsOneOfEach(t *testing.T) {
+	const file = "internal/mysql/server.go"
+	const answered = "	case exchange.Served:\n"
+	dir := t.TempDir()
+	base := PathOptions{Program: built(t, dir, "base", "", nil), Counting: built(t, dir, "counting", "", nil, "count"), Lookups: 200, Engines: 1, Only: "lookup"}
+	quiet := func(string) {}
+	counts, err := Path(context.Background(), base, quiet)
+	require.NoError(t, err)
+	path := filepath.Join(dir, "baseline.json")
+	require.NoError(t, WriteBaseline(path, counts, base))
+	b, err := ReadBaseline(path)
+	require.NoError(t, err)
+	again, err := Path(context.Background(), base, quiet)
+	require.NoError(t, err)
+	assert.Empty(t, b.Compare(again), "the same build passes")
+	for name, k := range map[string]struct {
+		replace []string
+		want    string
+		tags    []string
+	}{
+		"alloc": {[]string{answered, answered + "\t\textra = new([64]byte)\n", "type sessionKey struct{}", "type sessionKey struct{}\n\nvar extra *[64]byte\n"},
+			"lookup allocs:", nil},
+		"copy": {[]string{answered, answered + "\t\tcopies.Add(copies.Output, len(a.Rows))\n"}, "lookup copied:", []string{"count"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			o := base
+			if program := built(t, dir, name, file, k.replace, k.tags...); len(k.tags) > 0 {
+				o.Counting = program
+			} else {
+				o.Program = program
+			}
+			counts, err := Path(context.Background(), o, quiet)
+			require.NoError(t, err)
+			assert.Contains(t, strings.Join(b.Compare(counts), "\n"), k.want)
+		})
+	}
+}
+
+func TestBaselineFiles(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "b.json")
+	_, err := ReadBaseline(path)
+	require.ErrorIs(t, err, os.ErrNotExist, "a missing baseline is no pass")
+	for _, text := range []string{`{"schema":2,"counts":{"a":{"allocs":1}}}`, `{"schema":1}`, `{`, ``} {
+		require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+		_, err := ReadBaseline(path)
+		assert.Error(t, err, text)
+	}
+	require.NoError(t, WriteBaseline(path, map[string]Counts{"lookup": {"allocs": 20, "copied": 2.004, "peak_mb": 9}}, PathOptions{Lookups: 9}))
+	b, err := ReadBaseline(path)
+	require.NoError(t, err)
+	assert.Equal(t, Counts{"allocs": 20, "copied": 2}, b.Counts["lookup"], "what is told for information is not held")
+	assert.Empty(t, b.Compare(map[string]Counts{"lookup": {"allocs": 20.4, "copied": 2.05}}))
+	assert.Len(t, b.Compare(map[string]Counts{"lookup": {"allocs": 21, "copied": 3}}), 2, "one more of each")
+	assert.Contains(t, b.Compare(map[string]Counts{"lookup": {"allocs": 20}})[0], "not counted")
+	for field, o := range map[string]PathOptions{"lookups": {Lookups: 1, Engines: 1}, "engines": {Lookups: 100}, "only": {Lookups: 100, Engines: 1, Only: "x"}} {
+		assert.ErrorContains(t, o.Check(), field+": found")
+	}
+}
--- a/internal/bench/systrace/systrace.go
+++ b/internal/bench/systrace/systrace.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"time"
 	"unsafe"
 
 	"golang.org/x/sys/unix"
@@ -126,12 +127,18 @@
 // run is the tracer: all calls of ptrace must come from its one thread, which ends with it.
 func (c *Counter) run(ready chan<- error) {
 	runtime.LockOSThread()
+	if unix.Gettid() == unix.Getpid() {
+		// The main thread does not end with its goroutine, and would go on as the tracer: another one is taken.
+		go c.run(ready)
+		<-c.stopped
+		runtime.UnlockOSThread()
+		return
+	}
 	defer close(c.stopped)
 	held, err := c.seize()
 	if ready <- err; err != nil {
 		return
 	}
-	left := false // the threads are being let go
 	for len(held) > 0 {
 		var ws unix.WaitStatus
 		tid, err := unix.Wait4(-1, &ws, unix.WALL|unix.WNOTHREAD, nil)
@@ -143,28 +150,55 @@
 				c.err = err
 			}
 			return
+		case c.stop.Load():
+			if !ws.Exited() && !ws.Signaled() {
+				c.letGo(tid, ws)
+			}
+			delete(held, tid)
+			c.release(held)
+			return
 		case ws.Exited() || ws.Signaled():
 			delete(held, tid)
 			continue
 		}
 		held[tid] = true
-		if c.stop.Load() && !left {
-			left = true
-			for other := range held {
-				if other != tid {
-					_ = ptrace(unix.PTRACE_INTERRUPT, other, 0, 0)
-				}
-			}
-		}
-		c.step(tid, ws, left)
-		if left {
-			delete(held, tid)
+		c.step(tid, ws)
+	}
+}
+
+// release lets all threads go. It is bounded in time: a thread that is ending may tell nothing more, and is let go by
+// the end of this one.
+func (c *Counter) release(held map[int]bool) {
+	for tid := range held {
+		_ = ptrace(unix.PTRACE_INTERRUPT, tid, 0, 0)
+	}
+	for end := time.Now().Add(time.Second); len(held) > 0 && time.Now().Before(end); {
+		var ws unix.WaitStatus
+		tid, err := unix.Wait4(-1, &ws, unix.WALL|unix.WNOTHREAD|unix.WNOHANG, nil)
+		switch {
+		case errors.Is(err, unix.ECHILD):
+			return
+		case err != nil || tid == 0:
+			time.Sleep(time.Millisecond)
+			continue
+		case !ws.Exited() && !ws.Signaled():
+			c.letGo(tid, ws)
 		}
+		delete(held, tid)
 	}
 }
 
+// letGo detaches a thread that has stopped; a signal that it was about to get still reaches it.
+func (c *Counter) letGo(tid int, ws unix.WaitStatus) {
+	signal := uintptr(0)
+	if sig := ws.StopSignal(); sig != unix.SIGTRAP|0x80 && uint32(ws)>>16 == 0 {
+		signal = uintptr(sig)
+	}
+	_ = ptrace(unix.PTRACE_DETACH, tid, 0, signal)
+}
+
 // step takes one stop of a thread, and lets it go on.
-func (c *Counter) step(tid int, ws unix.WaitStatus, left bool) {
+func (c *Counter) step(tid int, ws unix.WaitStatus) {
 	signal := uintptr(0)
 	switch sig := ws.StopSignal(); {
 	case sig == unix.SIGTRAP|0x80:
@@ -173,11 +207,7 @@
 	default:
 		signal = uintptr(sig)
 	}
-	request := unix.PTRACE_SYSCALL
-	if left {
-		request = unix.PTRACE_DETACH
-	}
-	_ = ptrace(request, tid, 0, signal)
+	_ = ptrace(unix.PTRACE_SYSCALL, tid, 0, signal)
 }
 
 func (c *Counter) count(tid int) {
--- /dev/null
+++ b/internal/copies/off.go
@@ -0,0 +1,9 @@
+//go:build !count
+
+package copies
+
+// Add counts nothing in this build.
+func Add(Place, int) {}
+
+// Counts is nil in this build.
+func Counts() map[string]int64 { return nil }
--- a/internal/drill/demo.go
+++ b/internal/drill/demo.go
@@ -52,7 +52,7 @@
 	for _, u := range w.engines {
 		fmt.Fprintf(o.Out, "engine %s      %s\n", u.name, u.e.Addr)
 	}
-	s, err := dial(f.Addr, 3*time.Second)
+	s, err := Dial(f.Addr, 3*time.Second)
 	if err != nil {
 		return err
 	}
@@ -61,7 +61,7 @@
 		id := fmt.Sprintf("%016x", rand.Uint64())
 		text := fmt.Sprintf("/* c=%s,i=%s,d=%d */ SELECT id, engine, n FROM sales_17.orders", c.Name, id, c.Wait.Milliseconds())
 		began := time.Now()
-		rows, err := s.query(text, began.Add(c.Wait+slack))
+		rows, err := s.Query(text, began.Add(c.Wait+slack))
 		fmt.Fprintf(o.Out, "\n> %s\n", text)
 		if err != nil {
 			return err
--- a/internal/drill/front.go
+++ b/internal/drill/front.go
@@ -72,6 +72,8 @@
 	Line      func(string) // gets each line of its log; may be nil
 	MemoryMB  int
 	Sockets   int
+	Facts     string   // the settings object; empty: Facts
+	Door      *os.File // handed down for its figures; may be nil
 }
 
 var listening = regexp.MustCompile(`msg=listening .*address=(\S+)`)
@@ -80,6 +82,9 @@
 func StartFront(o FrontOptions) (*Front, error) {
 	config := fmt.Sprintf(`{"name":%q,"listen":"127.0.0.1:0","seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":%d,
 		"sockets":%d},"changelog":%q,"known":{"seq":0,"results":[]},"settings":%s}`, o.Name, o.MemoryMB, o.Sockets, o.ChangeLog, Facts)
+	if o.Facts != "" {
+		config = strings.Replace(config, Facts, o.Facts, 1)
+	}
 	path := filepath.Join(o.Dir, o.Name+".json")
 	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
 		return nil, fmt.Errorf("drill: %w", err)
@@ -93,6 +98,10 @@
 		}
 	}
 	f.cmd.Env = append(os.Environ(), "PROXY_CONFIG="+path, "PROXY_LISTEN=", "PROXY_NAME=", "BEECHCART_SETTINGS="+settings)
+	if o.Door != nil {
+		f.cmd.ExtraFiles = []*os.File{o.Door}
+		f.cmd.Env = append(f.cmd.Env, "BEECHCART_DOOR=3")
+	}
 	r, w, err := os.Pipe()
 	if err != nil {
 		return nil, fmt.Errorf("drill: %w", err)
--- a/internal/drill/load.go
+++ b/internal/drill/load.go
@@ -53,7 +53,7 @@
 	Rand    *rand.Rand
 
 	mu       sync.Mutex
-	idle     map[string][]*session
+	idle     map[string][]*Session
 	requests []Request
 	surplus  []string // answers that nobody asked for
 }
@@ -66,7 +66,7 @@
 
 // Run sends for that long, or until ctx ends, and returns once every request has its outcome.
 func (l *Load) Run(ctx context.Context, d time.Duration) []Request {
-	l.idle = map[string][]*session{}
+	l.idle = map[string][]*Session{}
 	var wg sync.WaitGroup
 	begin := time.Now()
 	for at := time.Duration(0); ; {
@@ -111,13 +111,13 @@
 }
 
 // take returns an idle session, or a new one.
-func (l *Load) take(addr string) (*session, error) {
+func (l *Load) take(addr string) (*Session, error) {
 	for {
 		l.mu.Lock()
 		list := l.idle[addr]
 		if len(list) == 0 {
 			l.mu.Unlock()
-			return dial(addr, 3*time.Second)
+			return Dial(addr, 3*time.Second)
 		}
 		s := list[len(list)-1]
 		l.idle[addr] = list[:len(list)-1]
@@ -142,14 +142,14 @@
 		s, err := l.take(addr)
 		if err != nil {
 			r.Outcome, r.Detail, r.Latency = Unanswered, err.Error(), time.Since(r.Due)
-			var refused *serverError
-			if errors.As(err, &refused) && refused.harmless() {
+			var refused *ServerError
+			if errors.As(err, &refused) && refused.Harmless() {
 				r.Outcome = Refused
 			}
 			return
 		}
 		r.Sent = time.Now()
-		rows, err := s.query(statement, r.Sent.Add(c.Wait+slack))
+		rows, err := s.Query(statement, r.Sent.Add(c.Wait+slack))
 		r.Latency = time.Since(r.Due)
 		// A front end may close a session that has nothing open; a request that crosses it is sent again, once.
 		if crossed := time.Since(r.Sent) < 50*time.Millisecond; err != nil && crossed && try == 0 && isClosed(err) {
@@ -171,18 +171,18 @@
 
 func isClosed(err error) bool {
 	var t net.Error
-	var s *serverError
+	var s *ServerError
 	return !errors.As(err, &s) && !(errors.As(err, &t) && t.Timeout())
 }
 
 // judge tells an outcome, and whether the rows are those of the request.
 func judge(id string, rows [][]string, err error) (Outcome, string) {
-	var s *serverError
+	var s *ServerError
 	switch {
-	case errors.As(err, &s) && s.harmless():
-		return Refused, s.text
+	case errors.As(err, &s) && s.Harmless():
+		return Refused, s.Text
 	case errors.As(err, &s):
-		return Failed, s.text
+		return Failed, s.Text
 	case err != nil:
 		return Unanswered, err.Error()
 	case len(rows) == 0:
--- a/internal/drill/session.go
+++ b/internal/drill/session.go
@@ -11,8 +11,8 @@
 	"time"
 )
 
-// session is one connection of a client: the MySQL text protocol, as far as the platform uses it, read strictly.
-type session struct {
+// Session is one connection of a client: the MySQL text protocol, as far as the platform uses it, read strictly.
+type Session struct {
 	c    net.Conn
 	r    *bufio.Reader
 	used time.Time
@@ -21,27 +21,28 @@
 // errSurplus tells that a front end sent more than one answer.
 var errSurplus = errors.New("bytes that belong to no answer")
 
-// serverError is an error packet.
-type serverError struct {
-	code int
-	text string
+// ServerError is an error packet.
+type ServerError struct {
+	Code int
+	Text string
 }
 
-func (e *serverError) Error() string { return fmt.Sprintf("error %d: %s", e.code, e.text) }
+func (e *ServerError) Error() string { return fmt.Sprintf("error %d: %s", e.Code, e.Text) }
 
-// harmless tells an error that promises that a repeat is harmless.
-func (e *serverError) harmless() bool { return e.code == 1040 || e.code == 1203 || e.code == 1226 }
+// Harmless tells an error that promises that a repeat is harmless.
+func (e *ServerError) Harmless() bool { return e.Code == 1040 || e.Code == 1203 || e.Code == 1226 }
 
 // login is the client's answer to the greeting: protocol 4.1, user app, database bi, no password.
 var login = []byte("\x08\x82\x08\x00" + "\x00\x00\x00\x01" + "\x2d" + "\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00" +
 	"\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00" + "app\x00" + "\x00" + "bi\x00" + "mysql_native_password\x00")
 
-func dial(addr string, wait time.Duration) (*session, error) {
+// Dial connects and logs in.
+func Dial(addr string, wait time.Duration) (*Session, error) {
 	c, err := net.DialTimeout("tcp", addr, wait)
 	if err != nil {
 		return nil, err
 	}
-	s := &session{c: c, r: bufio.NewReader(c)}
+	s := &Session{c: c, r: bufio.NewReader(c)}
 	if err = c.SetDeadline(time.Now().Add(wait)); err == nil {
 		if _, err = s.packet(); err == nil {
 			if err = s.send(1, login); err == nil {
@@ -56,14 +57,55 @@
 	return s, nil
 }
 
-func (s *session) send(seq byte, payload []byte) error {
+// Close ends the session; a nil one too.
+func (s *Session) Close() {
+	if s != nil {
+		s.c.Close()
+	}
+}
+
+// Conn is the session's connection.
+func (s *Session) Conn() net.Conn { return s.c }
+
+// OneQuery connects, writes login and query in one, reads the answer and quits.
+func OneQuery(addr, statement string, deadline time.Time) ([][]string, error) {
+	c, err := net.DialTimeout("tcp", addr, time.Until(deadline))
+	if err != nil {
+		return nil, err
+	}
+	defer c.Close()
+	if err := c.SetDeadline(deadline); err != nil {
+		return nil, err
+	}
+	s := &Session{c: c, r: bufio.NewReader(c)}
+	if _, err := c.Write(append(packet(1, login), packet(0, append([]byte{3}, statement...))...)); err != nil {
+		return nil, err
+	}
+	if _, err := s.packet(); err != nil { // the greeting
+		return nil, err
+	}
+	if _, err := s.answer(); err != nil {
+		return nil, err
+	}
+	rows, err := s.answer()
+	if err == nil {
+		err = s.send(0, []byte{1}) // COM_QUIT
+	}
+	return rows, err
+}
+
+// packet makes a packet of a payload.
+func packet(seq byte, payload []byte) []byte {
 	n := len(payload)
-	b := append([]byte{byte(n), byte(n >> 8), byte(n >> 16), seq}, payload...)
-	_, err := s.c.Write(b)
+	return append([]byte{byte(n), byte(n >> 8), byte(n >> 16), seq}, payload...)
+}
+
+func (s *Session) send(seq byte, payload []byte) error {
+	_, err := s.c.Write(packet(seq, payload))
 	return err
 }
 
-func (s *session) packet() ([]byte, error) {
+func (s *Session) packet() ([]byte, error) {
 	var head [4]byte
 	if _, err := io.ReadFull(s.r, head[:]); err != nil {
 		return nil, err
@@ -74,7 +116,7 @@
 }
 
 // fresh tells whether the session is open and nothing unasked has come.
-func (s *session) fresh() error {
+func (s *Session) fresh() error {
 	if s.r.Buffered() > 0 {
 		return errSurplus
 	}
@@ -90,8 +132,8 @@
 	return err
 }
 
-// query sends one statement and reads its whole answer before the deadline.
-func (s *session) query(statement string, deadline time.Time) ([][]string, error) {
+// Query sends one statement and reads its whole answer before the deadline.
+func (s *Session) Query(statement string, deadline time.Time) ([][]string, error) {
 	if err := s.c.SetDeadline(deadline); err != nil {
 		return nil, err
 	}
@@ -102,7 +144,7 @@
 }
 
 // answer reads OK, an error, or a result set of text rows up to its last EOF.
-func (s *session) answer() ([][]string, error) {
+func (s *Session) answer() ([][]string, error) {
 	var rows [][]string
 	for eofs := 0; ; {
 		p, err := s.packet()
@@ -113,7 +155,7 @@
 		case len(p) == 0:
 			return nil, errors.New("an empty packet")
 		case p[0] == 0xff && len(p) >= 9:
-			return rows, &serverError{int(binary.LittleEndian.Uint16(p[1:])), string(p[9:])}
+			return rows, &ServerError{int(binary.LittleEndian.Uint16(p[1:])), string(p[9:])}
 		case p[0] == 0 && eofs == 0:
 			return nil, nil
 		case p[0] == 0xfe && len(p) < 9:
--- a/internal/engine/conn.go
+++ b/internal/engine/conn.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cloudwego/netpoll"
+
+	"beechcart/internal/copies"
 )
 
 var errNoSocket = errors.New("engine: no socket is free")
@@ -119,6 +121,7 @@
 		c.header("Content-Length", strconv.Itoa(len(body)))
 	}
 	c.out = append(append(c.out, "\r\n"...), body...)
+	copies.Add(copies.Call, len(body))
 	if _, err := c.c.Writer().WriteBinary(c.out); err != nil {
 		return err
 	}
--- a/internal/engine/http.go
+++ b/internal/engine/http.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 
+	"beechcart/internal/copies"
 	"beechcart/internal/figure"
 	"beechcart/internal/http1"
 )
@@ -209,6 +210,7 @@
 			return nil, 0, err
 		}
 		copy(buf[w:], buf[n+from:n+from+size])
+		copies.Add(copies.Chunks, size)
 		w, n = w+size, n+from+size+2
 		if size == 0 {
 			return buf[:w], n, nil
--- a/internal/mysql/server.go
+++ b/internal/mysql/server.go
@@ -14,6 +14,7 @@
 
 	"github.com/cloudwego/netpoll"
 
+	"beechcart/internal/copies"
 	"beechcart/internal/exchange"
 	"beechcart/internal/invariant"
 	"beechcart/internal/settings"
@@ -28,7 +29,8 @@
 // Options are what the client side is built with.
 type Options struct {
 	Names    settings.Names
-	Sessions int // most sessions at once
+	Sessions int           // most sessions at once
+	Idle     time.Duration // a session that asks nothing is closed after this; 0: idleWait
 	Counters *invariant.Counters
 	Log      *slog.Logger
 }
@@ -46,6 +48,7 @@
 	lastBytes   = 1 << 20                // ... unless it sends so much before
 	sweepEvery  = 25 * time.Millisecond
 	malformedIn = 5 * time.Second // one line of malformed input in so long
+	directWrite = 4 << 10         // netpoll's writer copies less than this
 )
 
 // phase is what a session is at.
@@ -89,6 +92,9 @@
 
 // New returns a server that hands requests to taker.
 func New(opt Options, taker Taker) (*Server, error) {
+	if opt.Idle == 0 {
+		opt.Idle = idleWait
+	}
 	s := &Server{opt: opt, taker: taker, sessions: map[uint32]*session{}}
 	loop, err := netpoll.NewEventLoop(s.request, netpoll.WithOnConnect(s.connect), netpoll.WithOnDisconnect(s.disconnect),
 		netpoll.WithReadTimeout(packetWait), netpoll.WithWriteTimeout(writeWait))
@@ -291,7 +297,7 @@
 	case p == serving && s.conn.Reader().Len() > maxBehind:
 		// Guards against a peer that goes on sending while its request is open: netpoll reads all of it.
 		return "sessions_flooded"
-	case p == greeted && age > firstWait, p == reading && age > packetWait, p == idle && age > idleWait:
+	case p == greeted && age > firstWait, p == reading && age > packetWait, p == idle && age > s.srv.opt.Idle:
 		// Guards against a peer that was cut off, or never meant to ask: it would hold its descriptor for good.
 		return "sessions_swept"
 	}
@@ -299,6 +305,9 @@
 }
 
 func (s *session) write(b []byte) error {
+	if len(b) < directWrite {
+		copies.Add(copies.Output, len(b)) // netpoll copies what is small, and links what is large
+	}
 	if _, err := s.conn.Writer().WriteBinary(b); err != nil {
 		return err
 	}
@@ -439,6 +448,7 @@
 		if !s.srv.opt.Counters.Hold(exchange.CheckRows(a.Rows) == nil, "whole_rows") {
 			return s.fail(codeFailed, "HY000", "the result was malformed")
 		}
+		copies.Add(copies.Encode, len(a.Rows))
 		size := 256 + len(a.Rows) + bytes.Count(a.Rows, []byte{'\n'})*(4+columns)
 		return s.write(appendResult(make([]byte, 0, size), &s.seq, a.Rows)) == nil
 	case exchange.Refused:
--- a/internal/mysql/statement.go
+++ b/internal/mysql/statement.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"beechcart/internal/copies"
 	"beechcart/internal/exchange"
 	"beechcart/internal/figure"
 	"beechcart/internal/settings"
@@ -53,6 +54,7 @@
 		return r, errors.New("there is no statement")
 	}
 	r.Statement = bytes.Clone(text)
+	copies.Add(copies.Statement, len(text))
 	r.Group = tableGroup(text)
 	return r, nil
 }
--- a/internal/operators/cuefile/schema.cue
+++ b/internal/operators/cuefile/schema.cue
@@ -79,6 +79,13 @@
 		max_age_ms: (int & >=0 & <=604800000) | *86400000
 	}
 
+	clients: {
+		// a session that asks nothing is closed after this
+		idle_ms: (int & >=1000 & <=86400000) | *5000
+		// 0 is two fifths of the descriptors that the platform's configuration allows; never more than half of them
+		max_sessions: (int & >=0 & <=1048576) | *0
+	}
+
 	// path of a local socket for beechctl; "" is none
 	admin_socket: string | *""
 }
--- a/internal/operators/operators.go
+++ b/internal/operators/operators.go
@@ -34,6 +34,7 @@
 	Log         Log
 	Consul      consul.Options
 	LastGood    LastGood
+	Clients     Clients
 	AdminSocket string // path of a local socket for beechctl; empty: none
 }
 
@@ -43,6 +44,20 @@
 	Format string // "text" or "json"
 }
 
+// Clients are the bounds of sessions.
+type Clients struct {
+	Idle        time.Duration // a session that asks nothing is closed after this
+	MaxSessions int           // 0: two fifths of the descriptors
+}
+
+// Sessions is the most sessions at once, of so many descriptors.
+func (c Clients) Sessions(sockets int) int {
+	if c.MaxSessions > 0 {
+		return min(c.MaxSessions, sockets/2)
+	}
+	return sockets * 2 / 5
+}
+
 // LastGood is the file that keeps the last good list.
 type LastGood struct {
 	Path       string // empty: none
@@ -59,6 +74,7 @@
 			Addresses: []string{"127.0.0.1:8500"}, Service: "engine", Consistency: "default", MaxBody: 64 << 20,
 			Connect: 500 * time.Millisecond, Poll: poll.Defaults(), Membership: membership.Defaults(), Mapping: consul.DefaultMapping(),
 		},
+		Clients:  Clients{Idle: 5 * time.Second},
 		LastGood: LastGood{WriteEvery: time.Second, MaxAge: 24 * time.Hour},
 	}
 }
@@ -124,6 +140,7 @@
 		"last_good": object{
 			"path": word(&s.LastGood.Path), "write_every_ms": millis(&s.LastGood.WriteEvery), "max_age_ms": millis(&s.LastGood.MaxAge),
 		}.read,
+		"clients":      object{"idle_ms": millis(&s.Clients.Idle), "max_sessions": integer(&s.Clients.MaxSessions, 0, 1<<20)}.read,
 		"admin_socket": word(&s.AdminSocket),
 	}.read("", v)
 	switch {
