Keep idle sessions in lists by phase, and encode results straight into the output

Change: sessions hang in a list for each phase, in the order of their deadlines; sweeping and evicting look at heads only. A result is measured in one pass and encoded into the connection's output; its prologue is made once. Fields of a request are told apart without a map; ids are remembered without joining them; connecting looks nothing up. decision/reuse decides when a connection may serve again, with property tests by number; it is not wired yet.

--- /dev/null
+++ b/decision/reuse/reuse_test.go
@@ -0,0 +1,181 @@
+package reuse
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+const ms = time.Millisecond
+
+// proved is a Trust to which engine 1 has proved itself.
+func proved(t require.TestingT) *Trust {
+	tr, err := New(Defaults())
+	require.NoError(t, err)
+	for range Defaults().Prove {
+		tr.Silent(1)
+	}
+	return tr
+}
+
+func TestTable(t *testing.T) {
+	quiet := Conn{Queries: 3, Idle: 50 * ms, Clean: true}
+	with := func(change func(*Conn)) Conn {
+		c := quiet
+		change(&c)
+		return c
+	}
+	for name, k := range map[string]struct {
+		before func(*Trust)
+		engine uint32
+		c      Conn
+		unsafe bool
+		want   Verdict
+	}{
+		"proved and quiet":             {nil, 1, quiet, false, Serve},
+		"a load":                       {nil, 1, quiet, true, Wait},
+		"too soon":                     {nil, 1, with(func(c *Conn) { c.Idle = 19 * ms }), false, Wait},
+		"idle for long":                {nil, 1, with(func(c *Conn) { c.Idle = 4 * time.Second }), false, Close},
+		"something came":               {nil, 1, with(func(c *Conn) { c.Clean = false }), false, Close},
+		"to be closed by its engine":   {nil, 1, with(func(c *Conn) { c.Last = true }), false, Close},
+		"another engine":               {nil, 2, quiet, false, Close},
+		"its engine spoilt one":        {func(t *Trust) { t.Spoilt(1, time.Second) }, 1, quiet, false, Close},
+		"another engine spoilt one":    {func(t *Trust) { t.Spoilt(2, time.Second) }, 1, quiet, false, Close},
+		"one spoilt long ago":          {func(t *Trust) { t.Spoilt(2, -2*time.Minute) }, 1, quiet, false, Serve},
+		"its own long ago, not proved": {func(t *Trust) { t.Spoilt(1, -2*time.Minute) }, 1, quiet, false, Close},
+		"its process was replaced":     {func(t *Trust) { t.Forget(1) }, 1, quiet, false, Close},
+		"two spoilt, within the double": {func(t *Trust) {
+			t.Spoilt(2, -3*time.Minute)
+			t.Spoilt(2, -90*time.Second)
+		}, 1, quiet, false, Close},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tr := proved(t)
+			if k.before != nil {
+				k.before(tr)
+			}
+			assert.Equal(t, k.want, tr.Serve(k.engine, k.c, k.unsafe, time.Second))
+		})
+	}
+}
+
+func TestKeepIsBounded(t *testing.T) {
+	tr := proved(t)
+	set := Defaults()
+	c := Conn{Queries: 1, Clean: true}
+	for range set.MostIdle {
+		require.True(t, tr.Keep(1, c))
+	}
+	assert.False(t, tr.Keep(1, c), "6: of one engine")
+	tr.Dropped(1)
+	assert.True(t, tr.Keep(1, c))
+	for n := set.MostIdle; n < set.MostIdleAll; n++ {
+		require.True(t, tr.Keep(uint32(n), c))
+	}
+	assert.False(t, tr.Keep(99, c), "6: of all")
+	assert.False(t, proved(t).Keep(1, Conn{Queries: set.MostQueries, Clean: true}), "5")
+	assert.False(t, proved(t).Keep(1, Conn{Clean: true, Last: true}))
+	set.Off = true
+	off, err := New(set)
+	require.NoError(t, err)
+	assert.False(t, off.Keep(1, c))
+}
+
+// TestInvariants plays any history of connections and checks by number.
+func TestInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		set := Defaults()
+		tr, err := New(set)
+		if err != nil {
+			t.Fatal(err)
+		}
+		now, spoiltAt, silent, kept := time.Duration(0), -24*time.Hour, map[uint32]int{}, map[uint32]int{}
+		for range rapid.IntRange(1, 200).Draw(t, "events") {
+			now += time.Duration(rapid.Int64Range(0, int64(30*time.Second)).Draw(t, "pause"))
+			e := uint32(rapid.IntRange(1, 3).Draw(t, "engine"))
+			c := Conn{Queries: rapid.IntRange(1, 1100).Draw(t, "queries"), Idle: time.Duration(rapid.Int64Range(0, int64(5*time.Second)).Draw(t, "idle")),
+				Clean: rapid.IntRange(0, 4).Draw(t, "clean") > 0, Last: rapid.IntRange(0, 9).Draw(t, "last") == 0}
+			switch rapid.IntRange(0, 9).Draw(t, "event") {
+			case 0:
+				if rapid.IntRange(0, 3).Draw(t, "really") == 0 {
+					tr.Spoilt(e, now)
+					spoiltAt, silent[e] = now, 0
+				}
+			case 1, 2, 3, 4:
+				for range rapid.IntRange(1, 20).Draw(t, "silent") {
+					tr.Silent(e)
+					silent[e]++
+				}
+			case 5:
+				if tr.Keep(e, c) {
+					kept[e]++
+					if !c.Clean || c.Last || c.Queries >= set.MostQueries {
+						t.Fatalf("2, 5: kept %+v", c)
+					}
+				}
+			case 6:
+				if kept[e] > 0 {
+					kept[e]--
+					tr.Dropped(e)
+				}
+			default:
+				unsafe := rapid.Bool().Draw(t, "unsafe")
+				if tr.Serve(e, c, unsafe, now) == Serve {
+					switch {
+					case unsafe:
+						t.Fatal("1: a load on a connection that served before")
+					case !c.Clean || c.Last || c.Idle < set.Quiet:
+						t.Fatalf("2: serves %+v", c)
+					case silent[e] < set.Prove:
+						t.Fatalf("3: serves after %d in a row", silent[e])
+					case now-spoiltAt < set.Distrust:
+						t.Fatalf("4: serves %v after a spoilt answer", now-spoiltAt)
+					case c.Idle > set.MaxIdle:
+						t.Fatalf("5: serves %+v", c)
+					}
+				}
+			}
+			all := 0
+			for id, n := range kept {
+				if all += n; n > set.MostIdle {
+					t.Fatalf("6: %d of engine %d", n, id)
+				}
+			}
+			if all > set.MostIdleAll {
+				t.Fatalf("6: %d of all", all)
+			}
+		}
+	})
+}
+
+func TestDistrustDoubles(t *testing.T) {
+	tr := proved(t)
+	set := Defaults()
+	now := time.Duration(0)
+	for i := range 12 {
+		tr.Spoilt(2, now)
+		hold := min(set.MostDistrust, set.Distrust<<i)
+		assert.False(t, tr.Trusted(1, now+hold-1), i)
+		assert.True(t, tr.Trusted(1, now+hold), i)
+		now += hold
+	}
+	now += 3 * set.Forget
+	tr.Spoilt(2, now)
+	assert.True(t, tr.Trusted(1, now+set.Distrust), "what is forgotten doubles nothing")
+}
+
+func TestSettingsAreChecked(t *testing.T) {
+	for field, spoil := range map[string]func(*Settings){
+		"quiet": func(s *Settings) { s.Quiet = 0 }, "prove": func(s *Settings) { s.Prove = 0 }, "distrust": func(s *Settings) { s.Distrust = 0 },
+		"most_distrust": func(s *Settings) { s.MostDistrust = 1 }, "max_idle": func(s *Settings) { s.MaxIdle = 1 },
+		"most_queries": func(s *Settings) { s.MostQueries = 0 }, "forget": func(s *Settings) { s.Forget = 0 },
+	} {
+		set := Defaults()
+		spoil(&set)
+		_, err := New(set)
+		assert.ErrorContains(t, err, "reuse: "+field+":")
+	}
+}
--- a/internal/copies/copies.go
+++ b/internal/copies/copies.go
@@ -13,7 +13,5 @@
 	Output                 // mysql/server.go: packets into the connection's output
 	Statement              // mysql/statement.go: out of the session's buffer, into the request
 	Call                   // engine/conn.go: the statement into the call
-	places
+	places                 // how many there are
 )
-
-var names = [places]string{"pages", "chunks", "encode", "output", "statement", "call"}
--- a/internal/copies/on.go
+++ b/internal/copies/on.go
@@ -4,6 +4,8 @@
 
 import "sync/atomic"
 
+var names = [places]string{"pages", "chunks", "encode", "output", "statement", "call"}
+
 var counts [places]atomic.Int64
 
 // Add counts n bytes copied at a place.
--- a/internal/engine/conn.go
+++ b/internal/engine/conn.go
@@ -1,7 +1,10 @@
 package engine
 
 import (
+	"context"
 	"errors"
+	"net"
+	"net/netip"
 	"strconv"
 	"sync"
 	"syscall"
@@ -62,7 +65,7 @@
 		return nil, errNoSocket
 	}
 	for dials := 1; ; dials++ {
-		c, err := netpoll.DialConnection("tcp", addr, timeout)
+		c, err := connect(addr, timeout)
 		if err == nil {
 			_ = c.SetWriteTimeout(time.Second)
 			return &conn{c: c, socks: s}, nil
@@ -74,6 +77,22 @@
 	}
 }
 
+// connect opens a connection. Engines' addresses are numbers: they are not looked up, which would cost more than the
+// connection itself.
+func connect(addr string, timeout time.Duration) (netpoll.Connection, error) {
+	a, err := netip.ParseAddrPort(addr)
+	if err != nil {
+		return netpoll.DialConnection("tcp", addr, timeout)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	c, err := netpoll.DialTCP(ctx, "tcp", nil, &netpoll.TCPAddr{TCPAddr: net.TCPAddr{IP: a.Addr().AsSlice(), Port: int(a.Port()), Zone: a.Addr().Zone()}})
+	if err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
 func (c *conn) close() {
 	c.once.Do(func() {
 		_ = c.c.Close()
--- a/internal/mysql/packet.go
+++ b/internal/mysql/packet.go
@@ -150,11 +150,13 @@
 // columns is how many text columns every result has.
 const columns = exchange.Columns
 
-// appendResult appends a whole result set: rows as text that exchange.CheckRows holds for whole.
-func appendResult(b []byte, seq *byte, rows []byte) []byte {
-	b = appendPacket(b, seq, func(b []byte) []byte { return append(b, columns) })
+// prologue is what comes ahead of the rows of every result: the number of columns, their definitions and EOF. Its
+// packets are numbered from 1, as those of every answer to a command are.
+var prologue, afterPrologue = func() ([]byte, byte) {
+	seq := byte(1)
+	b := appendPacket(nil, &seq, func(b []byte) []byte { return append(b, columns) })
 	for i := range columns {
-		b = appendPacket(b, seq, func(b []byte) []byte {
+		b = appendPacket(b, &seq, func(b []byte) []byte {
 			name := string(rune('a' + i))
 			b = appendString(b, "def")
 			b = appendString(b, database)
@@ -167,18 +169,72 @@
 			return append(b, 0xfd, 0, 0, 0, 0, 0) // VAR_STRING
 		})
 	}
-	b = appendEOF(b, seq)
+	return appendEOF(b, &seq), seq
+}()
+
+// eofSize is the size of an EOF packet.
+const eofSize = 4 + 5
+
+// resultSize is the size of a whole result set; false where rows are not whole rows (exchange.CheckRows).
+func resultSize(rows []byte) (int, bool) {
+	size := len(prologue) + eofSize
 	for len(rows) > 0 {
-		var row []byte
-		row, rows, _ = bytes.Cut(rows, []byte{'\n'})
-		b = appendPacket(b, seq, func(b []byte) []byte {
-			for range columns {
-				var cell []byte
-				cell, row, _ = bytes.Cut(row, []byte{'\t'})
-				b = append(appendLenEnc(b, len(cell)), cell...)
+		end := bytes.IndexByte(rows, '\n')
+		if end < 0 {
+			return 0, false
+		}
+		row := rows[:end]
+		rows = rows[end+1:]
+		size += 4
+		for i := range columns {
+			cell := bytes.IndexByte(row, '\t')
+			if last := i == columns-1; last != (cell < 0) {
+				return 0, false
 			}
-			return b
-		})
+			if cell < 0 {
+				cell = len(row)
+			}
+			size += lenEncSize(cell) + cell
+			row = row[min(cell+1, len(row)):]
+		}
+	}
+	return size, true
+}
+
+func lenEncSize(n int) int {
+	switch {
+	case n < 251:
+		return 1
+	case n < 1<<16:
+		return 3
+	case n < 1<<24:
+		return 4
+	}
+	return 9
+}
+
+// appendResult appends a whole result set, of rows that resultSize has measured. This is the copy of the rows that every
+// result takes: their cells get lengths in front, so they can't go out as they came.
+func appendResult(b []byte, seq *byte, rows []byte) []byte {
+	b = append(b, prologue...)
+	*seq = afterPrologue
+	for len(rows) > 0 {
+		end := bytes.IndexByte(rows, '\n')
+		row := rows[:end]
+		rows = rows[end+1:]
+		at := len(b)
+		b = append(b, 0, 0, 0, *seq)
+		*seq++
+		for i := range columns {
+			cell := len(row)
+			if i < columns-1 {
+				cell = bytes.IndexByte(row, '\t')
+			}
+			b = append(appendLenEnc(b, cell), row[:cell]...)
+			row = row[min(cell+1, len(row)):]
+		}
+		n := len(b) - at - 4
+		b[at], b[at+1], b[at+2] = byte(n), byte(n>>8), byte(n>>16)
 	}
 	return appendEOF(b, seq)
 }
--- a/internal/mysql/server.go
+++ b/internal/mysql/server.go
@@ -3,7 +3,6 @@
 package mysql
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"log/slog"
@@ -60,6 +59,7 @@
 	reading              // a packet has begun
 	serving              // a request is open
 	closing              // the last error has been written
+	phases               // how many there are
 )
 
 // Server serves sessions on one listener.
@@ -69,7 +69,7 @@
 	loop  netpoll.EventLoop
 
 	mu       sync.Mutex
-	sessions map[uint32]*session
+	sessions sessions
 	told     time.Time // when malformed input was last logged
 }
 
@@ -82,10 +82,12 @@
 	logged bool
 	asked  bool // it has sent a command
 
-	mu    sync.Mutex
-	open  *exchange.Exchange // the request in hand
-	phase phase
-	since time.Time // when that phase began; of a session without a command: when it connected
+	// Guarded by the server's lock.
+	open       *exchange.Exchange // the request in hand
+	phase      phase
+	since      time.Time // when that phase began; of a session without a command: when it connected
+	listed     bool
+	prev, next *session
 }
 
 type sessionKey struct{}
@@ -95,7 +97,7 @@
 	if opt.Idle == 0 {
 		opt.Idle = idleWait
 	}
-	s := &Server{opt: opt, taker: taker, sessions: map[uint32]*session{}}
+	s := &Server{opt: opt, taker: taker, sessions: sessions{byID: map[uint32]*session{}}}
 	loop, err := netpoll.NewEventLoop(s.request, netpoll.WithOnConnect(s.connect), netpoll.WithOnDisconnect(s.disconnect),
 		netpoll.WithReadTimeout(packetWait), netpoll.WithWriteTimeout(writeWait))
 	if err != nil {
@@ -140,18 +142,18 @@
 func (s *Server) admit(ses *session) bool {
 	s.mu.Lock()
 	var out *session
-	full := len(s.sessions) >= s.opt.Sessions
+	full := len(s.sessions.byID) >= s.opt.Sessions
 	if full {
-		if out = s.leastUsed(); out != nil {
-			delete(s.sessions, out.id)
+		if out = s.sessions.leastUsed(ses.since); out != nil {
+			s.sessions.drop(out)
 		}
 	}
 	if !full || out != nil {
 		// The id lets anyone end the session's query, so it can't be guessed.
-		for ses.id == 0 || s.sessions[ses.id] != nil {
+		for ses.id == 0 || s.sessions.byID[ses.id] != nil {
 			ses.id = rand.Uint32()
 		}
-		s.sessions[ses.id] = ses
+		s.sessions.add(ses)
 	}
 	s.mu.Unlock()
 	if out != nil {
@@ -161,32 +163,6 @@
 	return !full || out != nil
 }
 
-// leastUsed is the session that may be closed for a new one; nil when all are at work. Silent ones go first, then
-// those idle for longest: a client whose next request crosses the close sends it again. One that has just come
-// is about to ask, and its request would be lost to it, so it goes last.
-func (s *Server) leastUsed() (least *session) {
-	var best int
-	var since time.Time
-	for _, ses := range s.sessions {
-		ses.mu.Lock()
-		p, at := ses.phase, ses.since
-		ses.mu.Unlock()
-		rank := 0
-		switch {
-		case p == serving || p == reading:
-			continue
-		case p == idle:
-			rank = 1
-		case p == greeted && time.Since(at) < silentAfter:
-			rank = 2
-		}
-		if least == nil || rank < best || (rank == best && at.Before(since)) {
-			least, best, since = ses, rank, at
-		}
-	}
-	return least
-}
-
 // disconnect is called at once when the peer has closed, also while a request is in hand.
 func (s *Server) disconnect(ctx context.Context, _ netpoll.Connection) {
 	ses, _ := ctx.Value(sessionKey{}).(*session)
@@ -194,7 +170,7 @@
 		return
 	}
 	s.mu.Lock()
-	delete(s.sessions, ses.id)
+	s.sessions.drop(ses)
 	s.mu.Unlock()
 	ses.abandon()
 }
@@ -208,7 +184,7 @@
 	ses.enter(reading)
 	if !ses.packet() {
 		s.mu.Lock()
-		delete(s.sessions, ses.id)
+		s.sessions.drop(ses)
 		s.mu.Unlock()
 		return c.Close()
 	}
@@ -220,26 +196,25 @@
 func (s *Server) sweep(stop <-chan struct{}) {
 	tick := time.NewTicker(sweepEvery)
 	defer tick.Stop()
+	var old []*session
 	for {
 		select {
 		case <-stop:
 			return
 		case <-tick.C:
 		}
+		old = old[:0]
 		s.mu.Lock()
-		var old []*session
-		for id, ses := range s.sessions {
-			if why := ses.overdue(); why != "" {
-				s.opt.Counters.Add(why, 1)
-				old = append(old, ses)
-				delete(s.sessions, id)
-			}
-		}
+		s.sessions.overdue(time.Now(), s.opt.Idle, func(ses *session, why string) {
+			s.opt.Counters.Add(why, 1)
+			old = append(old, ses)
+		})
 		s.mu.Unlock()
 		for _, ses := range old {
 			_ = ses.conn.Close()
 			ses.abandon() // the descriptor is held until the request in hand is let go
 		}
+		clear(old)
 	}
 }
 
@@ -258,7 +233,7 @@
 // kill ends the request in hand of the session with that id; false when there is no such session.
 func (s *Server) kill(id uint32) bool {
 	s.mu.Lock()
-	ses := s.sessions[id]
+	ses := s.sessions.byID[id]
 	s.mu.Unlock()
 	if ses == nil {
 		return false
@@ -270,9 +245,9 @@
 
 // abandon lets the request in hand go: nobody waits for it.
 func (s *session) abandon() {
-	s.mu.Lock()
+	s.srv.mu.Lock()
 	x := s.open
-	s.mu.Unlock()
+	s.srv.mu.Unlock()
 	if x != nil {
 		s.srv.taker.Leave(x)
 	}
@@ -280,28 +255,19 @@
 
 // enter moves the session to a phase. Until its first command it counts from its connect, whatever it sends.
 func (s *session) enter(p phase) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.srv.mu.Lock()
+	defer s.srv.mu.Unlock()
 	if s.phase == greeted && (p == reading || (p == idle && !s.asked)) {
 		return
 	}
-	s.phase, s.since = p, time.Now()
+	s.srv.sessions.move(s, p, time.Now())
 }
 
-// overdue tells why the session is to be closed; empty when it may stay.
-func (s *session) overdue() string {
-	s.mu.Lock()
-	p, age := s.phase, time.Since(s.since)
-	s.mu.Unlock()
-	switch {
-	case p == serving && s.conn.Reader().Len() > maxBehind:
-		// Guards against a peer that goes on sending while its request is open: netpoll reads all of it.
-		return "sessions_flooded"
-	case p == greeted && age > firstWait, p == reading && age > packetWait, p == idle && age > s.srv.opt.Idle:
-		// Guards against a peer that was cut off, or never meant to ask: it would hold its descriptor for good.
-		return "sessions_swept"
-	}
-	return ""
+// hold sets the request in hand; nil when there is none.
+func (s *session) hold(x *exchange.Exchange) {
+	s.srv.mu.Lock()
+	s.open = x
+	s.srv.mu.Unlock()
 }
 
 func (s *session) write(b []byte) error {
@@ -427,30 +393,37 @@
 	}
 	x := exchange.New(req, arrived)
 	s.enter(serving)
-	s.mu.Lock()
-	s.open = x
-	s.mu.Unlock()
+	s.hold(x)
 	s.srv.taker.Take(x)
 	if !s.conn.IsActive() { // it closed before the request was in hand
 		s.srv.taker.Leave(x)
 	}
 	<-x.Done()
-	s.mu.Lock()
-	s.open = nil
-	s.mu.Unlock()
+	s.hold(nil)
 	return s.answer(x.Answer())
 }
 
+// result encodes rows straight into the connection's output, in one write.
+func (s *session) result(rows []byte, size int) bool {
+	out, err := s.conn.Writer().Malloc(size)
+	if err != nil {
+		return false
+	}
+	copies.Add(copies.Encode, len(rows))
+	b := appendResult(out[:0], &s.seq, rows)
+	s.srv.opt.Counters.Hold(len(b) == size, "result_size")
+	return s.conn.Writer().Flush() == nil
+}
+
 func (s *session) answer(a exchange.Answer) bool {
 	switch a.Kind {
 	case exchange.Served:
 		// Guards against half a result: the server side passes on whole rows only.
-		if !s.srv.opt.Counters.Hold(exchange.CheckRows(a.Rows) == nil, "whole_rows") {
+		size, whole := resultSize(a.Rows)
+		if !s.srv.opt.Counters.Hold(whole, "whole_rows") {
 			return s.fail(codeFailed, "HY000", "the result was malformed")
 		}
-		copies.Add(copies.Encode, len(a.Rows))
-		size := 256 + len(a.Rows) + bytes.Count(a.Rows, []byte{'\n'})*(4+columns)
-		return s.write(appendResult(make([]byte, 0, size), &s.seq, a.Rows)) == nil
+		return s.result(a.Rows, size)
 	case exchange.Refused:
 		if a.Pause > 0 {
 			a.Reason += fmt.Sprintf("; retry after %d ms", a.Pause.Milliseconds())
--- /dev/null
+++ b/internal/mysql/sessions.go
@@ -0,0 +1,102 @@
+package mysql
+
+import "time"
+
+// sessions are the sessions of a server, by id and by what they are at. Each list is in the order in which its sessions
+// came to it, which is the order of their deadlines: looking for those that are overdue, or for the one of least use,
+// costs nothing for the thousands that are neither. It is guarded by the server's lock.
+type sessions struct {
+	byID  map[uint32]*session
+	lists [phases]sessionList
+}
+
+// sessionList is a list through the sessions themselves.
+type sessionList struct{ head, tail *session }
+
+func (l *sessionList) push(s *session) {
+	if s.prev, s.next = l.tail, nil; l.tail != nil {
+		l.tail.next = s
+	} else {
+		l.head = s
+	}
+	l.tail = s
+}
+
+func (l *sessionList) remove(s *session) {
+	if s.prev != nil {
+		s.prev.next = s.next
+	} else {
+		l.head = s.next
+	}
+	if s.next != nil {
+		s.next.prev = s.prev
+	} else {
+		l.tail = s.prev
+	}
+	s.prev, s.next = nil, nil
+}
+
+func (t *sessions) add(s *session) {
+	t.byID[s.id] = s
+	s.listed = true
+	t.lists[s.phase].push(s)
+}
+
+// drop forgets a session; one that was dropped before is left alone.
+func (t *sessions) drop(s *session) {
+	if !s.listed {
+		return
+	}
+	s.listed = false
+	delete(t.byID, s.id)
+	t.lists[s.phase].remove(s)
+}
+
+// move brings a session to a phase.
+func (t *sessions) move(s *session, p phase, now time.Time) {
+	if s.listed {
+		t.lists[s.phase].remove(s)
+		t.lists[p].push(s)
+	}
+	s.phase, s.since = p, now
+}
+
+// leastUsed is the session that may be closed for a new one; nil when all are at work. Those whose last error has been
+// written and silent ones go first, then those idle for longest: a client whose next request crosses the close sends it
+// again. One that has just come is about to ask, and its request would be lost to it, so it goes last.
+func (t *sessions) leastUsed(now time.Time) *session {
+	if s := t.lists[closing].head; s != nil {
+		return s
+	}
+	silent := t.lists[greeted].head
+	if silent != nil && now.Sub(silent.since) >= silentAfter {
+		return silent
+	}
+	if s := t.lists[idle].head; s != nil {
+		return s
+	}
+	return silent
+}
+
+// overdue hands each session that is to be closed to out, with the reason. out may drop it.
+func (t *sessions) overdue(now time.Time, idleFor time.Duration, out func(s *session, why string)) {
+	for _, l := range []struct {
+		at   phase
+		most time.Duration
+	}{{greeted, firstWait}, {reading, packetWait}, {idle, idleFor}} {
+		// Guards against a peer that was cut off, or never meant to ask: it would hold its descriptor for good.
+		for s := t.lists[l.at].head; s != nil && now.Sub(s.since) > l.most; s = t.lists[l.at].head {
+			out(s, "sessions_swept")
+			t.drop(s)
+		}
+	}
+	for s := t.lists[serving].head; s != nil; {
+		next := s.next
+		// Guards against a peer that goes on sending while its request is open: netpoll reads all of it.
+		if s.conn.Reader().Len() > maxBehind {
+			out(s, "sessions_flooded")
+			t.drop(s)
+		}
+		s = next
+	}
+}
--- a/internal/mysql/statement.go
+++ b/internal/mysql/statement.go
@@ -26,7 +26,7 @@
 	}
 	fields, text := q[2:end], bytes.TrimLeft(q[end+2:], " \t\r\n")
 	r.Class, r.Tenant, r.Group = -1, -1, -1
-	seen := map[string]bool{}
+	var seen seenFields
 	for len(fields) > 0 {
 		var field []byte
 		field, fields, _ = bytes.Cut(fields, []byte(","))
@@ -35,11 +35,10 @@
 			return r, fmt.Errorf("field %.40q is not name=value", field)
 		}
 		// A field that comes twice may mean one thing here and another at the engine.
-		if seen[string(name)] {
+		if !seen.add(name) {
 			return r, fmt.Errorf("field %.40q comes twice", name)
 		}
-		seen[string(name)] = true
-		if err := setField(&r, string(name), value, names); err != nil {
+		if err := setField(&r, name, value, names); err != nil {
 			return r, err
 		}
 	}
@@ -59,6 +58,34 @@
 	return r, nil
 }
 
+// seenFields are the names that a comment has brought: those that are known as bits, the rest as they come.
+type seenFields struct {
+	known uint8
+	more  map[string]bool
+}
+
+var fieldNames = [...]string{"c", "i", "d", "t", "h", "need_mb"}
+
+// add enters a name; false when it was there.
+func (s *seenFields) add(name []byte) bool {
+	for i, n := range fieldNames {
+		if string(name) == n {
+			bit := uint8(1) << i
+			fresh := s.known&bit == 0
+			s.known |= bit
+			return fresh
+		}
+	}
+	if s.more[string(name)] {
+		return false
+	}
+	if s.more == nil {
+		s.more = map[string]bool{}
+	}
+	s.more[string(name)] = true
+	return true
+}
+
 // parseKill reads KILL QUERY with the id of a session; ok is false for any other statement.
 func parseKill(q []byte) (id uint32, ok bool) {
 	const most = 64 // it is short
@@ -81,18 +108,20 @@
 
 // setField takes one field. Each is checked here, before any is passed on: an engine must not see what it can't
 // use, nor the controller a figure that is none.
-func setField(r *exchange.Request, name string, value []byte, names settings.Names) error {
+func setField(r *exchange.Request, name, value []byte, names settings.Names) error {
 	bad := func() error { return fmt.Errorf("field %s: %.40q can't be used", name, value) }
 	number := func(most float64) (float64, bool) {
 		f, ok := figure.Parse(value)
 		return f, ok && f <= most
 	}
-	switch name {
+	switch string(name) {
 	case "c":
-		r.ClassName = string(value)
-		if r.Class = settings.Find(names.Classes, r.ClassName); r.Class < 0 {
+		var ok bool
+		if r.Class, ok = names.Classes[string(value)]; !ok {
+			r.Class = -1
 			return bad()
 		}
+		r.ClassName = names.Class(r.Class, value)
 	case "i":
 		if len(value) != 16 {
 			return bad()
@@ -111,8 +140,11 @@
 		r.Left = time.Duration(f * float64(time.Millisecond))
 	case "t":
 		// A tenant that does not exist has no share: its request is refused as malformed, not served as another's.
-		if r.Tenant = settings.Find(names.Tenants, string(value)); r.Tenant < 0 && len(names.Tenants) > 0 {
-			return bad()
+		var ok bool
+		if r.Tenant, ok = names.Tenants[string(value)]; !ok {
+			if r.Tenant = -1; len(names.Tenants) > 0 {
+				return bad()
+			}
 		}
 	case "h":
 		f, ok := number(mostEstimate)
--- a/internal/planner/memory.go
+++ b/internal/planner/memory.go
@@ -1,7 +1,6 @@
 package planner
 
 import (
-	"bytes"
 	"hash/maphash"
 	"time"
 
@@ -30,11 +29,17 @@
 	if time.Since(m.since) > rememberFor {
 		m.old, m.now, m.since = m.now, map[string]uint64{}, time.Now()
 	}
-	asks := maphash.Bytes(m.seed, bytes.Join([][]byte{[]byte(x.ClassName), x.Statement}, []byte{0}))
-	for _, ids := range []map[string]uint64{m.now, m.old} {
-		if was, ok := ids[x.ID]; ok && was != asks {
-			return false
-		}
+	var h maphash.Hash
+	h.SetSeed(m.seed)
+	_, _ = h.WriteString(x.ClassName)
+	_ = h.WriteByte(0)
+	_, _ = h.Write(x.Statement)
+	asks := h.Sum64()
+	if was, ok := m.now[x.ID]; ok && was != asks {
+		return false
+	}
+	if was, ok := m.old[x.ID]; ok && was != asks {
+		return false
 	}
 	m.now[x.ID] = asks
 	return true
--- a/internal/settings/facts.go
+++ b/internal/settings/facts.go
@@ -13,6 +13,16 @@
 // Names maps the settings' names to the indexes that the controller sees.
 type Names struct {
 	Classes, Tenants, Zones, Kinds map[string]int
+
+	classes []string // by place
+}
+
+// Class is the name of a class, where text is how a request spells it: one string for all requests.
+func (n *Names) Class(i int, text []byte) string {
+	if i < len(n.classes) {
+		return n.classes[i]
+	}
+	return string(text)
 }
 
 // Find looks a name up; -1 when it is not there.
@@ -74,6 +84,7 @@
 	}
 	for i, c := range f.list("services") {
 		n.Classes[c.word("name")] = i
+		n.classes = append(n.classes, c.word("name"))
 		s.Classes = append(s.Classes, f.class(i, c, n))
 	}
 	return s, n, *f.err
