--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -327,7 +327,9 @@
 			for id, q := range e.queries {
 				switch {
 				case q.Ended.IsZero() && now.Sub(q.asked) > forgetWait:
-					e.finish(q, now, false)
+					// The time that counts is the protocol's, not that of this look: on a busy machine a late look would make
+					// an attempt that was over appear to overlap the next.
+					e.finish(q, q.asked.Add(forgetWait), false)
 				case !q.Ended.IsZero() && now.Sub(q.Ended) > keepWait:
 					delete(e.queries, id)
 				}
