Let stand-ins, tests and tools share what they wrote more than once

Cause: read over once more. Three stand-ins listened each in its own way: the change log's did not check for loopback, Consul's kept the log of its HTTP server in a buffer that only grew. Three test packages built the front end themselves, two places parsed the line of a listed engine, two opened idle sessions, two printed tables of figures. An assignment without effect in the flap-all fault is gone.

--- a/cmd/beechcart/command.go
+++ b/cmd/beechcart/command.go
@@ -4,10 +4,13 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"os"
 	"runtime/debug"
 
 	"github.com/spf13/cobra"
+
+	"beechcart/internal/invariant"
 )
 
 func execute() error { return command().Execute() }
@@ -57,7 +60,7 @@
 			if err != nil {
 				return err
 			}
-			if _, err := newSource(cfg, ops, nil, nil); err != nil {
+			if _, err := newSource(cfg, ops, nil, &invariant.Counters{}, slog.Default()); err != nil {
 				return err
 			}
 			_, err = fmt.Fprintf(c.OutOrStdout(), "good: %s, listening on %s, engine list from %s\n", cfg.Name, cfg.Listen, ops.Source)
--- a/cmd/beechcart/helper_test.go
+++ b/cmd/beechcart/helper_test.go
@@ -20,26 +20,14 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"beechcart/internal/testprogram"
 )
 
 // program is the binary under test: a debug build, so that a broken invariant ends it.
 var program string
 
-func TestMain(m *testing.M) {
-	dir, err := os.MkdirTemp("", "beechcart")
-	if err != nil {
-		panic(err)
-	}
-	program = filepath.Join(dir, "beechcart")
-	build := exec.Command("go", "build", "-race", "-buildvcs=false", "-tags", "debug", "-o", program, ".")
-	if out, err := build.CombinedOutput(); err != nil {
-		fmt.Fprintf(os.Stderr, "%s%v\n", out, err)
-		os.Exit(1)
-	}
-	code := m.Run()
-	os.RemoveAll(dir)
-	os.Exit(code)
-}
+func TestMain(m *testing.M) { testprogram.Main(m, &program, "-race", "-tags", "debug") }
 
 const facts = `{"discovery":"push","family_info":{"holds_tables":[false,true],"kind_memory_mb":[24576],"lanes_count":true,
 "overbooked":"overcommit","says_cost":true,"size_cores":[12],"tells_every":1000000000,"threads_by_class":[1,2],
--- a/cmd/beechcart/run.go
+++ b/cmd/beechcart/run.go
@@ -89,14 +89,14 @@
 	}
 	defer list.stop()
 	if ops.AdminSocket != "" {
-		door, err := admin.Listen(ops.AdminSocket, map[string]admin.Command{
-			"list":     func() (any, error) { return list.beliefs(), nil },
+		socket, err := admin.Listen(ops.AdminSocket, map[string]admin.Command{
+			"list":     func() (any, error) { return list.feed.Beliefs(), nil },
 			"counters": func() (any, error) { return counters.Map(), nil },
 		})
 		if err != nil {
 			return err
 		}
-		defer door.Close()
+		defer socket.Close()
 		log.Info("admin socket", "path", ops.AdminSocket)
 	}
 	if err := door.Open(func(f *door.Figures) { f.Counters, f.Copies = counters.Map(), copies.Counts() }); err != nil {
@@ -166,16 +166,11 @@
 	store  *lastgood.Store
 }
 
-// newSource makes the source that the settings name: the change log, or a Consul catalogue.
-func newSource(cfg *settings.Config, ops operators.Settings, l *list, store consul.Store) (*consul.Source, error) {
+// newSource makes the catalogue that the settings name; nil where they name the change log.
+func newSource(cfg *settings.Config, ops operators.Settings, store consul.Store, counters *invariant.Counters, log *slog.Logger) (*consul.Source, error) {
 	if ops.Source != operators.Consul {
 		return nil, nil
 	}
-	var counters *invariant.Counters
-	log := slog.Default()
-	if l != nil {
-		counters, log = l.counters, l.log
-	}
 	return consul.New(ops.Consul, cfg.Names, store, counters, log, cfg.Seed)
 }
 
@@ -187,7 +182,7 @@
 		store = lastgood.New(ops.LastGood.Path, ops.LastGood.WriteEvery, ops.LastGood.MaxAge, l.log)
 		keep = store
 	}
-	src, err := newSource(cfg, ops, l, keep)
+	src, err := newSource(cfg, ops, keep, l.counters, l.log)
 	if err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
@@ -242,9 +237,6 @@
 	l.log.Info("reloaded", "changelog", cfg.ChangeLog)
 }
 
-// beliefs tells what the source in hand believes of each engine.
-func (l *list) beliefs() []source.Belief { return l.feed.Beliefs() }
-
 // report logs the counters now and then.
 func report(ctx context.Context, counters *invariant.Counters, log *slog.Logger) {
 	tell := time.NewTicker(reportEvery)
--- a/cmd/beechctl/bench.go
+++ b/cmd/beechctl/bench.go
@@ -37,11 +37,7 @@
 			if asJSON {
 				return printJSON(c.OutOrStdout(), figures)
 			}
-			t := tabwriter.NewWriter(c.OutOrStdout(), 0, 0, 2, ' ', 0)
-			for _, name := range slices.Sorted(maps.Keys(figures)) {
-				fmt.Fprintf(t, "%s\t%.4g\n", name, figures[name])
-			}
-			return t.Flush()
+			return printTable(c.OutOrStdout(), "%.4g", figures)
 		},
 	}
 	f := list.Flags()
@@ -49,7 +45,7 @@
 	f.IntVar(&o.Metadata, "metadata", 2000, "bytes of metadata of each")
 	f.IntVar(&o.Seconds, "seconds", 60, "how long the list stands still")
 	f.IntVar(&o.Changes, "changes", 50, "changes that are told after it, one at a time")
-	f.StringVar(&o.Program, "beechcart", "", "front end to start; none: the one beside this program")
+	programFlag(list, &o.Program)
 	f.BoolVar(&asJSON, "json", false, "print one JSON object")
 	root.AddCommand(list, pathCommand(), speedCommand(), idleCommand())
 	return root
@@ -101,7 +97,7 @@
 	f := c.Flags()
 	f.IntVar(&o.Lookups, "lookups", 1000, "lookups in each count; larger requests are fewer")
 	f.IntVar(&o.Engines, "engines", 1, "stand-in engines")
-	f.StringVar(&o.Program, "beechcart", "", "release build of the front end; none: the one beside this program")
+	programFlag(c, &o.Program)
 	f.StringVar(&o.Counting, "counting", "", "build with the tag count, for the copies; none: they are not counted")
 	f.StringVar(&o.Only, "only", "", "one scenario; none: all")
 	f.StringVar(&gate, "gate", "", "baseline to hold the counts to: exit code 1 where one has risen by more than a tenth, or by more than half of one")
@@ -153,7 +149,7 @@
 		},
 	}
 	f := c.Flags()
-	f.StringVar(&o.Program, "beechcart", "", "front end to measure; none: the one beside this program")
+	programFlag(c, &o.Program)
 	f.StringVar(&against, "against", "", "another build, measured in turn with it")
 	f.IntVar(&rounds, "rounds", 1, "how often")
 	f.IntVar(&o.Engines, "engines", 4, "stand-in engines")
@@ -187,7 +183,7 @@
 			return err
 		},
 	}
-	c.Flags().StringVar(&program, "beechcart", "", "front end to measure; none: the one beside this program")
+	programFlag(c, &program)
 	c.Flags().IntVar(&n, "sessions", 10000, "idle sessions")
 	return c
 }
--- a/cmd/beechctl/demo.go
+++ b/cmd/beechctl/demo.go
@@ -27,7 +27,7 @@
 			return nil
 		},
 	}
-	c.Flags().StringVar(&o.Program, "beechcart", "", "front end to start; none: the one beside this program")
+	programFlag(c, &o.Program)
 	c.Flags().BoolVar(&o.Once, "once", false, "end after the queries")
 	return c
 }
--- a/cmd/beechctl/drill.go
+++ b/cmd/beechctl/drill.go
@@ -73,7 +73,7 @@
 	f.Float64Var(&o.Rate, "rate", 300, "requests a second")
 	f.IntVar(&o.Engines, "engines", 8, "stand-in engines")
 	f.StringVar(&o.Faults, "faults", "all", "all, none, or one of "+strings.Join(d.Kinds, ", "))
-	f.StringVar(&o.Program, "beechcart", "", "front end to start; none: the one beside this program")
+	programFlag(c, &o.Program)
 	f.BoolVar(&asJSON, "json", false, "print one JSON object")
 	f.BoolVarP(&verbose, "verbose", "v", false, "tell each fault as it is played")
 	if len(d.Policies) > 0 {
--- a/cmd/beechctl/list.go
+++ b/cmd/beechctl/list.go
@@ -5,8 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"maps"
-	"slices"
 	"text/tabwriter"
 	"time"
 
@@ -114,11 +112,7 @@
 			if asJSON {
 				return printJSON(c.OutOrStdout(), n)
 			}
-			t := tabwriter.NewWriter(c.OutOrStdout(), 0, 0, 2, ' ', 0)
-			for _, name := range slices.Sorted(maps.Keys(n)) {
-				fmt.Fprintf(t, "%s\t%d\n", name, n[name])
-			}
-			return t.Flush()
+			return printTable(c.OutOrStdout(), "%d", n)
 		},
 	}
 	c.Flags().StringVar(&socket, "socket", "", "admin socket of a running front end")
--- a/cmd/beechctl/main.go
+++ b/cmd/beechctl/main.go
@@ -8,9 +8,12 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"os"
 	"os/signal"
+	"slices"
 	"syscall"
+	"text/tabwriter"
 
 	"github.com/spf13/cobra"
 )
@@ -57,6 +60,20 @@
 	return exitFailed
 }
 
+// printTable prints names and figures, one a line, by name.
+func printTable[V any](w io.Writer, format string, figures map[string]V) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	for _, name := range slices.Sorted(maps.Keys(figures)) {
+		fmt.Fprintf(t, "%s\t"+format+"\n", name, figures[name])
+	}
+	return t.Flush()
+}
+
+// programFlag lets a command take the front end to start; drill.Program finds it where none is named.
+func programFlag(c *cobra.Command, program *string) {
+	c.Flags().StringVar(program, "beechcart", "", "front end to start; none: the one beside this program")
+}
+
 // printJSON prints one indented document.
 func printJSON(w io.Writer, v any) error {
 	e := json.NewEncoder(w)
--- a/internal/bench/gate_test.go
+++ b/internal/bench/gate_test.go
@@ -4,24 +4,21 @@
 	"context"
 	"encoding/json"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"beechcart/internal/testprogram"
 )
 
 // built builds the front end, with replacements in one file.
 func built(t *testing.T, dir, name, file string, replace []string, tags ...string) string {
 	root, err := filepath.Abs("../..")
 	require.NoError(t, err)
-	out := filepath.Join(dir, name)
-	args := []string{"build", "-buildvcs=false", "-o", out}
-	if len(tags) > 0 {
-		args = append(args, "-tags", strings.Join(tags, ","))
-	}
+	args := []string{"-tags", strings.Join(tags, ",")}
 	if len(replace) > 0 {
 		path := filepath.Join(root, file)
 		text, err := os.ReadFile(path)
@@ -37,10 +34,9 @@
 		require.NoError(t, os.WriteFile(list, overlay, 0o600))
 		args = append(args, "-overlay", list)
 	}
-	cmd := exec.Command("go", append(args, "beechcart/cmd/beechcart")...)
-	msg, err := cmd.CombinedOutput()
-	require.NoError(t, err, string(msg))
-	return out
+	program, err := testprogram.Build(dir, name, args...)
+	require.NoError(t, err)
+	return program
 }
 
 // Guards against a gate that holds nothing: one allocation or one copy more must fail it.
--- a/internal/bench/list.go
+++ b/internal/bench/list.go
@@ -6,7 +6,6 @@
 	"context"
 	"fmt"
 	"os"
-	"regexp"
 	"strconv"
 	"strings"
 	"time"
@@ -64,16 +63,16 @@
 			consul.Check{CheckID: "service:" + id(i), Status: "passing"})
 	}
 	type line struct {
-		name, state string
-		at          time.Time
+		drill.Listed
+		at time.Time // when it was read
 	}
 	lines := make(chan line, 2*o.Entries+16)
 	began := time.Now()
 	f, err := drill.StartFront(drill.FrontOptions{Program: o.Program, Dir: dir, Name: "n0", MemoryMB: 1024, Sockets: 1024,
 		Settings: fmt.Sprintf(`{"schema":1,"source":"consul","consul":{"addresses":[%q]}}`, cat.Addr),
 		Line: func(text string) {
-			if m := listed.FindStringSubmatch(text); m != nil {
-				lines <- line{m[1][strings.LastIndexByte(m[1], '/')+1:], m[2], time.Now()}
+			if l, ok := drill.ParseListed(text); ok {
+				lines <- line{l, time.Now()}
 			}
 		}})
 	if err != nil {
@@ -109,7 +108,7 @@
 		for {
 			select {
 			case l := <-lines:
-				if l.name == id(0) && (l.state != "ready") == on {
+				if l.Name == id(0) && (l.State != "ready") == on {
 					_ = h.RecordValue(l.at.Sub(wrote).Microseconds())
 				} else {
 					continue
@@ -130,8 +129,6 @@
 	return figures, nil
 }
 
-var listed = regexp.MustCompile(`msg="engine listed" .*engine=(\S+) .*state=(\S+)`)
-
 // resident is the memory of a process, now and at its peak, in MB.
 func resident(pid int) (now, peak float64) {
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
--- a/internal/bench/path.go
+++ b/internal/bench/path.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"os"
 	"path/filepath"
 	"slices"
@@ -109,7 +108,7 @@
 	o := drill.FrontOptions{Program: program, Dir: h.dir, Name: "n0", MemoryMB: 512, Sockets: sockets, ChangeLog: h.log.Addr, Settings: settings,
 		Facts: strings.Replace(drill.Facts, `"probes":true`, `"probes":false`, 1),
 		Line: func(text string) {
-			if strings.Contains(text, `msg="engine listed"`) {
+			if _, ok := drill.ParseListed(text); ok {
 				ready <- struct{}{}
 			}
 		}}
@@ -121,7 +120,7 @@
 		theirs := os.NewFile(uintptr(pair[1]), "door")
 		defer theirs.Close()
 		h.door = door.NewClient(os.NewFile(uintptr(pair[0]), "door"))
-		o.Door = theirs
+		o.Files, o.Env = []*os.File{theirs}, []string{door.Env + "=3"}
 	}
 	if h.front, err = drill.StartFront(o); err != nil {
 		return nil, err
@@ -363,25 +362,17 @@
 	var s Speed
 	settings := ""
 	if o.Idle > 0 {
-		settings = `{"schema":1,"clients":{"idle_ms":600000,"max_sessions":` + strconv.Itoa(o.Idle+1000) + `}}`
+		settings = idleSettings(o.Idle)
 	}
 	h, err := build(o.Program, o.Engines, max(2048, 4*(o.Idle+1000)), settings, false)
 	if err != nil {
 		return s, err
 	}
 	defer h.close()
-	idle := make([]*drill.Session, 0, o.Idle)
-	defer func() {
-		for _, ses := range idle {
-			ses.Close()
-		}
-	}()
-	for range o.Idle {
-		ses, err := drill.Dial(h.front.Addr, 5*time.Second)
-		if err != nil {
-			return s, fmt.Errorf("bench: idle session %d: %w", len(idle), err)
-		}
-		idle = append(idle, ses)
+	idle, err := h.idle(o.Idle)
+	defer closeAll(idle)
+	if err != nil {
+		return s, err
 	}
 	lookup := Scenarios[0]
 	loop := func(d time.Duration) (int, error) {
@@ -497,6 +488,29 @@
 	return sum
 }
 
+// idleSettings let n sessions stay that ask nothing, and some more that do.
+func idleSettings(n int) string {
+	return fmt.Sprintf(`{"schema":1,"clients":{"idle_ms":600000,"max_sessions":%d}}`, n+1000)
+}
+
+// idle opens n sessions that ask nothing; those that were opened are returned with an error too.
+func (h *house) idle(n int) (list []*drill.Session, err error) {
+	for range n {
+		ses, err := drill.Dial(h.front.Addr, 5*time.Second)
+		if err != nil {
+			return list, fmt.Errorf("bench: idle session %d: %w", len(list), err)
+		}
+		list = append(list, ses)
+	}
+	return list, nil
+}
+
+func closeAll(list []*drill.Session) {
+	for _, ses := range list {
+		ses.Close()
+	}
+}
+
 // Idle is what sessions that do nothing cost.
 type Idle struct {
 	Sessions    int
@@ -508,7 +522,7 @@
 // MeasureIdle opens idle sessions on a front end and counts what they cost.
 func MeasureIdle(ctx context.Context, program string, n int) (Idle, error) {
 	out := Idle{Sessions: n}
-	h, err := build(program, 2, 4*(n+1000), `{"schema":1,"clients":{"idle_ms":600000,"max_sessions":`+strconv.Itoa(n+1000)+`}}`, true)
+	h, err := build(program, 2, 4*(n+1000), idleSettings(n), true)
 	if err != nil {
 		return out, err
 	}
@@ -519,13 +533,10 @@
 	}
 	warm.Close()
 	none, _ := resident(h.front.Pid())
-	var list []net.Conn
-	for range n {
-		ses, err := drill.Dial(h.front.Addr, 5*time.Second)
-		if err != nil {
-			return out, fmt.Errorf("bench: idle session %d: %w", len(list), err)
-		}
-		list = append(list, ses.Conn())
+	list, err := h.idle(n)
+	defer closeAll(list)
+	if err != nil {
+		return out, err
 	}
 	before := cpuNanos(h.front.Pid())
 	select {
@@ -541,9 +552,7 @@
 		return len(d)
 	}
 	began := time.Now()
-	for _, c := range list {
-		c.Close()
-	}
+	closeAll(list)
 	for fds() > 100 {
 		if time.Since(began) > 30*time.Second {
 			return out, fmt.Errorf("bench: %d descriptors are still open", fds())
--- a/internal/drill/catalogue.go
+++ b/internal/drill/catalogue.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
-	"regexp"
 	"slices"
 	"strconv"
 	"strings"
@@ -83,24 +82,28 @@
 
 // register writes a unit as it is into the catalogue.
 func (w *ward) register(u *unit) {
-	status := "passing"
-	if u.failing {
-		status = "critical"
-	}
 	w.cat.Register(consul.Node{Node: "n-" + u.name, Address: u.e.Host()}, consul.Service{ID: u.name, Service: service, Port: u.e.Port(),
-		Meta: map[string]string{"zone": "room-a", "kind": "std-4", "start": strconv.Itoa(u.process)}}, consul.Check{CheckID: "service:" + u.name, Status: status})
+		Meta: map[string]string{"zone": "room-a", "kind": "std-4", "start": strconv.Itoa(u.process)}}, consul.Check{CheckID: "service:" + u.name, Status: statusOf(!u.failing)})
 }
 
 func (w *ward) status(u *unit, passing bool) {
 	w.mu.Lock()
 	u.failing = !passing
 	w.mu.Unlock()
-	status := "passing"
-	if !passing {
-		status = "critical"
-	}
 	w.write(u)
-	w.cat.SetStatus("n-"+u.name, "service:"+u.name, status, "")
+	w.check(u, passing)
+}
+
+// check writes the state of a unit's check into the catalogue.
+func (w *ward) check(u *unit, passing bool) {
+	w.cat.SetStatus("n-"+u.name, "service:"+u.name, statusOf(passing), "")
+}
+
+func statusOf(passing bool) string {
+	if passing {
+		return "passing"
+	}
+	return "critical"
 }
 
 // write remembers when a change of a unit is told to the catalogue.
@@ -214,11 +217,9 @@
 					w.mu.Lock()
 					well := passing && !u.failing
 					w.mu.Unlock()
-					w.cat.SetStatus("n-"+u.name, "service:"+u.name, map[bool]string{true: "passing", false: "critical"}[well], "")
-				}
-				if !pause(ctx, every) {
-					passing = true
+					w.check(u, well)
 				}
+				pause(ctx, every) // the end of the drill cuts the pauses short; the last word is passing all the same
 			}
 		}
 	}},
@@ -303,36 +304,29 @@
 	}
 }
 
-var listed = regexp.MustCompile(`time=(\S+) .*msg="engine listed" .*engine=(\S+) .*state=(\S+)`)
-
 // line follows what the front end logs of its list: instants with nobody ready, and how soon changes arrive.
 func (w *ward) line(text string) {
-	m := listed.FindStringSubmatch(text)
-	if m == nil {
-		return
-	}
-	at, err := time.Parse(time.RFC3339Nano, m[1])
-	if err != nil {
+	l, ok := ParseListed(text)
+	if !ok {
 		return
 	}
-	name := m[2][strings.LastIndexByte(m[2], '/')+1:]
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.changes++
 	was := w.readyCount()
-	w.ready[name] = m[3] == "ready"
+	w.ready[l.Name] = l.State == "ready"
 	// The lines of one list come one by one: what is nobody between two of them is no instant with nobody.
-	if n := len(w.gaps); n > 0 && w.readyCount() > 0 && at.Sub(w.gaps[n-1].At) < 3*time.Millisecond {
+	if n := len(w.gaps); n > 0 && w.readyCount() > 0 && l.At.Sub(w.gaps[n-1].At) < 3*time.Millisecond {
 		w.gaps = w.gaps[:n-1]
 	}
-	if wrote, ok := w.wrote[name]; ok {
-		delete(w.wrote, name)
+	if wrote, ok := w.wrote[l.Name]; ok {
+		delete(w.wrote, l.Name)
 		if d := time.Since(wrote); d >= 0 && w.opt.Faults == "drain" {
 			_ = w.seen.RecordValue(d.Microseconds())
 		}
 	}
 	if was > 0 && w.readyCount() == 0 {
-		w.gaps = append(w.gaps, Breach{NoEngine, at, "", "the front end has no engine left"})
+		w.gaps = append(w.gaps, Breach{NoEngine, l.At, "", "the front end has no engine left"})
 	}
 }
 
--- a/internal/drill/drill_test.go
+++ b/internal/drill/drill_test.go
@@ -4,11 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"fmt"
 	"math/rand/v2"
-	"os"
-	"os/exec"
-	"path/filepath"
 	"testing"
 	"time"
 
@@ -16,26 +12,13 @@
 	"github.com/stretchr/testify/require"
 
 	"beechcart/internal/standin/engine"
+	"beechcart/internal/testprogram"
 )
 
 // program is a debug build of the front end, so that a broken invariant ends it.
 var program string
 
-func TestMain(m *testing.M) {
-	dir, err := os.MkdirTemp("", "drill")
-	if err != nil {
-		panic(err)
-	}
-	program = filepath.Join(dir, "beechcart")
-	build := exec.Command("go", "build", "-buildvcs=false", "-tags", "debug", "-o", program, "beechcart/cmd/beechcart")
-	if out, err := build.CombinedOutput(); err != nil {
-		fmt.Fprintf(os.Stderr, "%s%v\n", out, err)
-		os.Exit(1)
-	}
-	code := m.Run()
-	os.RemoveAll(dir)
-	os.Exit(code)
-}
+func TestMain(m *testing.M) { testprogram.Main(m, &program, "-tags", "debug") }
 
 // Any seed must pass; the one that was drawn is told where it does not.
 func TestCatalogueDrillKeepsTheRules(t *testing.T) {
--- a/internal/drill/front.go
+++ b/internal/drill/front.go
@@ -72,19 +72,38 @@
 	Line      func(string) // gets each line of its log; may be nil
 	MemoryMB  int
 	Sockets   int
-	Facts     string   // the settings object; empty: Facts
-	Door      *os.File // handed down for its figures; may be nil
+	Facts     string     // the settings object; empty: Facts
+	Env       []string   // further environment
+	Files     []*os.File // handed down as descriptors from 3
+}
+
+// Listed is a line in which a front end tells of one engine of its list.
+type Listed struct {
+	At          time.Time // of the line
+	Name, State string    // the name without its node
+}
+
+var listed = regexp.MustCompile(`time=(\S+) .*msg="engine listed" .*engine=(\S+) .*state=(\S+)`)
+
+// ParseListed reads such a line; false for any other.
+func ParseListed(line string) (l Listed, ok bool) {
+	m := listed.FindStringSubmatch(line)
+	if m == nil {
+		return l, false
+	}
+	at, err := time.Parse(time.RFC3339Nano, m[1])
+	return Listed{at, m[2][strings.LastIndexByte(m[2], '/')+1:], m[3]}, err == nil
 }
 
 var listening = regexp.MustCompile(`msg=listening .*address=(\S+)`)
 
 // StartFront starts a front end and waits until it listens.
 func StartFront(o FrontOptions) (*Front, error) {
-	config := fmt.Sprintf(`{"name":%q,"listen":"127.0.0.1:0","seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":%d,
-		"sockets":%d},"changelog":%q,"known":{"seq":0,"results":[]},"settings":%s}`, o.Name, o.MemoryMB, o.Sockets, o.ChangeLog, Facts)
-	if o.Facts != "" {
-		config = strings.Replace(config, Facts, o.Facts, 1)
+	if o.Facts == "" {
+		o.Facts = Facts
 	}
+	config := fmt.Sprintf(`{"name":%q,"listen":"127.0.0.1:0","seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":%d,
+		"sockets":%d},"changelog":%q,"known":{"seq":0,"results":[]},"settings":%s}`, o.Name, o.MemoryMB, o.Sockets, o.ChangeLog, o.Facts)
 	path := filepath.Join(o.Dir, o.Name+".json")
 	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
 		return nil, fmt.Errorf("drill: %w", err)
@@ -98,10 +117,8 @@
 		}
 	}
 	f.cmd.Env = append(os.Environ(), "PROXY_CONFIG="+path, "PROXY_LISTEN=", "PROXY_NAME=", "BEECHCART_SETTINGS="+settings)
-	if o.Door != nil {
-		f.cmd.ExtraFiles = []*os.File{o.Door}
-		f.cmd.Env = append(f.cmd.Env, "BEECHCART_DOOR=3")
-	}
+	f.cmd.Env = append(f.cmd.Env, o.Env...)
+	f.cmd.ExtraFiles = o.Files
 	r, w, err := os.Pipe()
 	if err != nil {
 		return nil, fmt.Errorf("drill: %w", err)
--- a/internal/drill/session.go
+++ b/internal/drill/session.go
@@ -64,9 +64,6 @@
 	}
 }
 
-// Conn is the session's connection.
-func (s *Session) Conn() net.Conn { return s.c }
-
 // OneQuery connects, writes login and query in one, reads the answer and quits.
 func OneQuery(addr, statement string, deadline time.Time) ([][]string, error) {
 	c, err := net.DialTimeout("tcp", addr, time.Until(deadline))
--- a/internal/standin/changelog/changelog.go
+++ b/internal/standin/changelog/changelog.go
@@ -3,14 +3,13 @@
 
 import (
 	"fmt"
-	"io"
-	"log"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
+
+	"beechcart/internal/standin/loopback"
 )
 
 // Endpoint is one engine of an event.
@@ -31,13 +30,12 @@
 
 // Start serves an empty log at an address of 127.0.0.0/8.
 func Start(addr string) (*Log, error) {
-	l, err := net.Listen("tcp", addr)
+	l, err := loopback.Listen(addr)
 	if err != nil {
 		return nil, err
 	}
 	c := &Log{Addr: l.Addr().String(), changed: make(chan struct{})}
-	c.http = &http.Server{Handler: http.HandlerFunc(c.changes), ErrorLog: log.New(io.Discard, "", 0)}
-	go func() { _ = c.http.Serve(l) }()
+	c.http = loopback.Serve(l, http.HandlerFunc(c.changes))
 	return c, nil
 }
 
--- a/internal/standin/consul/consul.go
+++ b/internal/standin/consul/consul.go
@@ -5,19 +5,18 @@
 package consul
 
 import (
-	"bytes"
 	"crypto/tls"
 	"encoding/json"
 	"fmt"
-	"log"
 	"maps"
-	"net"
 	"net/http"
 	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
+
+	"beechcart/internal/standin/loopback"
 )
 
 // Node is where services run.
@@ -90,7 +89,6 @@
 	answered func(service string, list []Instance)
 	reads    int
 
-	l    net.Listener
 	http *http.Server
 	stop chan struct{}
 	once sync.Once
@@ -106,24 +104,19 @@
 
 // Start begins to serve on an address of 127.0.0.0/8; conf may be nil.
 func Start(addr string, conf *tls.Config) (*Server, error) {
-	l, err := net.Listen("tcp", addr)
+	l, err := loopback.Listen(addr)
 	if err != nil {
 		return nil, err
 	}
-	if !l.Addr().(*net.TCPAddr).IP.IsLoopback() {
-		l.Close()
-		return nil, fmt.Errorf("stand-in: %s is not a loopback address", addr)
-	}
 	s := &Server{
 		Addr: l.Addr().String(), changed: make(chan struct{}), index: 10, byName: map[string]uint64{}, nodes: map[string]Node{},
-		services: map[string]map[string]Service{}, checks: map[string]map[string]Check{}, l: l, stop: make(chan struct{}),
+		services: map[string]map[string]Service{}, checks: map[string]map[string]Check{}, stop: make(chan struct{}),
 	}
 	s.putNode(Node{Node: AgentNode, Address: "127.0.0.1", Datacenter: "dc1"})
 	if conf != nil {
 		l = tls.NewListener(l, conf)
 	}
-	s.http = &http.Server{Handler: s.mux(), ErrorLog: log.New(bytes.NewBuffer(nil), "", 0)}
-	go func() { _ = s.http.Serve(l) }()
+	s.http = loopback.Serve(l, s.mux())
 	go s.expire()
 	return s, nil
 }
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -7,8 +7,6 @@
 	"context"
 	"fmt"
 	"io"
-	"log"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -16,6 +14,8 @@
 	"time"
 
 	"github.com/zeebo/xxh3"
+
+	"beechcart/internal/standin/loopback"
 )
 
 // Times of the platform's protocol.
@@ -74,14 +74,10 @@
 
 // Start runs an engine at an address of 127.0.0.0/8; port 0 takes any.
 func Start(addr string, opt Options) (*Engine, error) {
-	l, err := net.Listen("tcp", addr)
+	l, err := loopback.Listen(addr)
 	if err != nil {
 		return nil, err
 	}
-	if !l.Addr().(*net.TCPAddr).IP.IsLoopback() {
-		l.Close()
-		return nil, fmt.Errorf("stand-in: %s is not a loopback address", addr)
-	}
 	e := &Engine{Addr: l.Addr().String(), opt: opt, queries: map[string]*query{}}
 	e.ctx, e.end = context.WithCancel(context.Background())
 	m := http.NewServeMux()
@@ -91,8 +87,7 @@
 	m.HandleFunc("DELETE /v2/q/{id}", e.del)
 	m.HandleFunc("GET /-/ok", func(http.ResponseWriter, *http.Request) {})
 	m.HandleFunc("GET /-/gauges", e.gauges)
-	e.http = &http.Server{Handler: e.still(m), ErrorLog: log.New(io.Discard, "", 0)}
-	go func() { _ = e.http.Serve(l) }()
+	e.http = loopback.Serve(l, e.still(m))
 	go e.forget()
 	return e, nil
 }
