Let connections to engines serve again where a handshake has a price

Ruled out: redials (101 to 185 over 80 front ends), the change log's polls (80 to 171), full tables at engines (none). At fault: internal/engine/attempt.go connect and fleet.go probeOnce, which dialled each time; decision/reuse was not wired. Change: a pool in internal/engine keeps what has ended a query or a probe and asks decision/reuse whether it serves again. A connection of an engine unheard for 2 s does not serve: a machine that vanished shows on a new one at once, and proves that nothing ran.

--- a/cmd/beechcart/run.go
+++ b/cmd/beechcart/run.go
@@ -65,6 +65,7 @@
 	plan := planner.New(ctl, cfg.Admission.Classes, counters, log)
 	fleet := engine.New(engine.Options{
 		ConnectTimeout: cfg.ConnectTimeout, Sockets: cfg.Sockets / 2, Counters: counters,
+		Classes: cfg.Admission.Classes, Reuse: ops.Connections(cfg.HandshakePrice, cfg.Sockets),
 	}, plan)
 	front, err := mysql.New(mysql.Options{
 		Names: cfg.Names, Sessions: ops.Clients.Sessions(cfg.Sockets), Idle: ops.Clients.Idle, Counters: counters, Log: log,
--- a/decision/reuse/reuse.go
+++ b/decision/reuse/reuse.go
@@ -12,12 +12,15 @@
 //
 //  1. A request that must not run twice never goes out on a connection that served before.
 //  2. A connection serves again only after its last answer was consumed to the last byte and nothing more came for Quiet.
-//  3. An engine's connections serve again only after Prove connections of its present process in a row stayed silent
-//     for Quiet after their last answer. Anything spoilt or surplus from the engine starts the row anew.
+//  3. Connections serve again only after Prove connections in a row, of whichever engines, stayed silent for Quiet after
+//     their last answer, ProveEach of them of the engine's present process. Anything spoilt or surplus starts both rows
+//     anew.
 //  4. After anything spoilt or surplus, from whichever engine, no connection serves again for Distrust: what spoils
 //     answers is more often the network than one engine. Each further time within Forget doubles the time, up to
 //     MostDistrust.
 //  5. A connection serves at most MostQueries times and is idle for at most MaxIdle before it serves again.
+//     It does not serve while nothing was heard of its engine for MaxUnheard: a machine that has vanished says nothing
+//     on an open connection, while a new one shows it at once and proves that nothing ran.
 //  6. At most MostIdle connections of an engine are kept, and at most MostIdleAll of all.
 //
 // # What it gives up
@@ -38,11 +41,13 @@
 	Off          bool
 	Quiet        time.Duration
 	Prove        int
+	ProveEach    int
 	Distrust     time.Duration
 	MostDistrust time.Duration
 	Forget       time.Duration
 	MostQueries  int
 	MaxIdle      time.Duration
+	MaxUnheard   time.Duration
 	MostIdle     int
 	MostIdleAll  int
 }
@@ -52,15 +57,19 @@
 	return Settings{
 		// Many times a round trip within a site (2.6 ms at most here): a copy that was sent with the answer is there by then.
 		Quiet: 20 * time.Millisecond,
-		// At a few queries a second and engine this is some seconds of proof after each start.
-		Prove: 16,
+		// Answers are spoilt on the way or by a release, so by all engines alike: one row for all proves it within a second or
+		// two at a few queries a second, where a row for each engine would take a front end of a large fleet most of a
+		// minute. What one process alone does its own first connection shows.
+		Prove: 12, ProveEach: 1,
 		// A day that spoils answers spoils one every few seconds: the second one already doubles the time.
 		Distrust: time.Minute, MostDistrust: time.Hour, Forget: 2 * time.Hour,
 		// A connection that is opened anew now and then costs nothing and bounds what one fault can do.
 		MostQueries: 1000,
 		// Far under the idle time-outs of engines (30 s here) and of what stands between.
-		MaxIdle:  3 * time.Second,
-		MostIdle: 16, MostIdleAll: 64,
+		MaxIdle: 3 * time.Second,
+		// A front end of a large fleet hears of each engine that it draws from several times in this.
+		MaxUnheard: 2 * time.Second,
+		MostIdle:   16, MostIdleAll: 64,
 	}
 }
 
@@ -71,6 +80,8 @@
 		return fmt.Errorf("quiet: %v is not more than 0", s.Quiet)
 	case s.Prove < 1:
 		return fmt.Errorf("prove: %d is not at least 1", s.Prove)
+	case s.ProveEach < 0 || s.ProveEach > s.Prove:
+		return fmt.Errorf("prove_each: %d is not from 0 to prove (%d)", s.ProveEach, s.Prove)
 	case s.Distrust <= 0:
 		return fmt.Errorf("distrust: %v is not more than 0", s.Distrust)
 	case s.MostDistrust < s.Distrust:
@@ -81,6 +92,8 @@
 		return fmt.Errorf("most_queries: %d is not at least 1", s.MostQueries)
 	case s.MaxIdle <= s.Quiet:
 		return fmt.Errorf("max_idle: %v is not more than quiet (%v)", s.MaxIdle, s.Quiet)
+	case s.MaxUnheard <= 0:
+		return fmt.Errorf("max_unheard: %v is not more than 0", s.MaxUnheard)
 	case s.MostIdle < 0 || s.MostIdleAll < 0:
 		return fmt.Errorf("most_idle: it is negative")
 	}
@@ -91,6 +104,7 @@
 type Conn struct {
 	Queries int           // that it has served
 	Idle    time.Duration // since its last answer was consumed
+	Unheard time.Duration // since anything was heard of its engine
 	Clean   bool          // open, its answers consumed to the last byte, and nothing more has come
 	Last    bool          // its engine has told that it closes it
 }
@@ -99,6 +113,7 @@
 type Trust struct {
 	set     Settings
 	engines map[uint32]*row
+	silent  int           // connections in a row that stayed silent, of all engines
 	until   time.Duration // no connection serves again before
 	spoilt  time.Duration // when distrust began last
 	times   int           // that it began within Forget
@@ -128,13 +143,14 @@
 	return r
 }
 
-// Forget drops an engine whose process has gone or was replaced; its kept connections must have been told by Dropped.
+// Forget drops an engine whose process has gone or was replaced; its kept connections must have been told by Dropped
+// before.
 func (t *Trust) Forget(engine uint32) { delete(t.engines, engine) }
 
 // Spoilt tells that an answer of the engine could not be read or could not be right, or that more came than belonged
 // to it.
 func (t *Trust) Spoilt(engine uint32, now time.Duration) {
-	t.row(engine).silent = 0
+	t.row(engine).silent, t.silent = 0, 0
 	if t.times > 0 && now-t.spoilt > t.set.Forget {
 		t.times = 0
 	}
@@ -148,7 +164,10 @@
 }
 
 // Silent tells that a connection of the engine brought nothing more for Quiet after its last answer.
-func (t *Trust) Silent(engine uint32) { t.row(engine).silent++ }
+func (t *Trust) Silent(engine uint32) {
+	t.row(engine).silent++
+	t.silent++
+}
 
 // Keep decides whether a connection that has just ended a query is kept: to serve again, or at least to prove itself
 // silent. Each one that is kept is told by Dropped or Taken later.
@@ -188,11 +207,9 @@
 	switch {
 	case !c.Clean || c.Last || c.Idle > t.set.MaxIdle:
 		return Close
-	case c.Idle < t.set.Quiet:
-		return Wait
-	case t.row(engine).silent < t.set.Prove || now < t.until:
+	case now < t.until:
 		return Close // it has proved itself silent, and may do no more
-	case unsafe:
+	case c.Idle < t.set.Quiet || unsafe || c.Unheard > t.set.MaxUnheard || !t.Trusted(engine, now):
 		return Wait
 	}
 	return Serve
@@ -201,7 +218,7 @@
 // Trusted tells whether connections of the engine may serve again at this time.
 func (t *Trust) Trusted(engine uint32, now time.Duration) bool {
 	r := t.engines[engine]
-	return !t.set.Off && r != nil && r.silent >= t.set.Prove && now >= t.until
+	return !t.set.Off && r != nil && t.silent >= t.set.Prove && r.silent >= t.set.ProveEach && now >= t.until
 }
 
 // Quiet is how long a connection must have been silent before it serves again.
--- a/internal/engine/attempt.go
+++ b/internal/engine/attempt.go
@@ -35,9 +35,9 @@
 	smallCall = 8 << 10
 )
 
-// attempt is one query on one engine, from its POST until it is proved over. It has a connection of its own,
-// never one that served another query: nothing in an answer tells which query it belongs to, so what another
-// query's answer left behind, however late it comes, must not be read as this one's.
+// attempt is one query on one engine, from its POST until it is proved over. Nothing in an answer tells which query it
+// belongs to, so what another query's answer left behind, however late it comes, must not be read as this one's: a
+// connection that served another query carries this one only where decision/reuse allows it.
 type attempt struct {
 	fleet    *Fleet
 	x        *exchange.Exchange
@@ -73,7 +73,7 @@
 	if a.peer == nil {
 		return admission.Moot, nil
 	}
-	defer a.hangUp()
+	defer a.handBack()
 	r, status, err := a.post()
 	if status != admission.OK {
 		return status, nil
@@ -102,6 +102,15 @@
 	}
 }
 
+// handBack gives the connection to the pool, which keeps it or closes it. All answers that were owed on it have been
+// read: what was not answered, or could not be read, has closed it.
+func (a *attempt) handBack() {
+	if a.c != nil {
+		a.c.queries++
+		a.fleet.pool.put(a.peer, a.c)
+	}
+}
+
 // post sends the query; any status but OK is the end of the attempt, and it never ran.
 func (a *attempt) post() (r response, status admission.Status, err error) {
 	for posts := 1; ; posts++ {
@@ -136,12 +145,14 @@
 
 // connect opens the connection that is to carry the POST; any status but OK is the end of the attempt.
 func (a *attempt) connect() admission.Status {
-	var err error
-	if a.c, err = a.fleet.socks.dial(a.peer.addr, a.fleet.opt.ConnectTimeout, false); err == errNoSocket {
-		a.fleet.opt.Counters.Add("no_socket", 1)
-		return admission.Full
-	} else if err != nil {
-		return admission.ConnectFailed
+	if a.c = a.fleet.pool.take(a.peer, a.fleet.unsafe(a.x)); a.c == nil {
+		var err error
+		if a.c, err = a.fleet.dial(a.peer.addr, false); err == errNoSocket {
+			a.fleet.opt.Counters.Add("no_socket", 1)
+			return admission.Full
+		} else if err != nil {
+			return admission.ConnectFailed
+		}
 	}
 	// Guards against late sends: the wait for a connection may have outlasted the word that the engine drains,
 	// the request, or the time left.
@@ -163,18 +174,23 @@
 		a.c.abort()
 		if isSpoilt(err) {
 			a.fleet.opt.Counters.Add("spoilt_answer", 1)
+			a.fleet.pool.Spoilt(a.peer)
 		} else {
 			a.fleet.opt.Counters.Add("lost_call", 1)
 		}
 		return r, err
 	}
 	a.known = true
+	a.peer.answered()
 	return r, nil
 }
 
 // call makes a call for the query on the connection in hand, or on a new one when that may carry none.
 func (a *attempt) call(method, path string, check func(response) error) (response, error) {
 	if a.c == nil || !a.c.fresh() {
+		if a.c != nil && a.c.surplus() {
+			a.fleet.pool.Spoilt(a.peer)
+		}
 		a.hangUp()
 		c, err := a.redial()
 		if err != nil {
@@ -203,7 +219,7 @@
 	if a.peer.isEnded() {
 		return nil, errGone
 	}
-	c, err := a.fleet.socks.dial(a.peer.addr, a.fleet.opt.ConnectTimeout, true)
+	c, err := a.fleet.dial(a.peer.addr, true)
 	if err == nil && a.peer.isEnded() {
 		c.close()
 		return nil, errGone
--- a/internal/engine/conn.go
+++ b/internal/engine/conn.go
@@ -53,6 +53,8 @@
 	out   []byte // the call being written; used again once it has been answered
 	took  int    // bytes of the response in hand, which are still in the buffer
 	last  bool   // that response ends the connection
+
+	queries int // that it has carried
 }
 
 // mostDials bounds the opening of one connection where each try is reset.
@@ -123,6 +125,9 @@
 	return !c.last && c.c.IsActive() && c.c.Reader().Len() == 0
 }
 
+// surplus tells that more has come than belonged to the last answer; fresh must have been called.
+func (c *conn) surplus() bool { return c.took == 0 && c.c.IsActive() && c.c.Reader().Len() > 0 }
+
 // header writes one field of the call in hand.
 func (c *conn) header(name, value string) {
 	c.out = append(append(append(append(c.out, name...), ": "...), value...), "\r\n"...)
--- a/internal/engine/fleet.go
+++ b/internal/engine/fleet.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"beechcart/admission"
+	"beechcart/decision/reuse"
 	"beechcart/internal/exchange"
 	"beechcart/internal/invariant"
 	"beechcart/internal/roster"
@@ -24,6 +25,8 @@
 type Options struct {
 	ConnectTimeout time.Duration
 	Sockets        int // connections in all, the reserve included
+	Classes        []admission.Class
+	Reuse          reuse.Settings // the zero value keeps no connection
 	Counters       *invariant.Counters
 }
 
@@ -31,6 +34,7 @@
 type Fleet struct {
 	opt   Options
 	socks *sockets
+	pool  *pool
 	sink  Sink
 
 	mu    sync.Mutex
@@ -48,6 +52,7 @@
 	return &Fleet{
 		opt: opt, sink: sink, peers: map[uint32]*peer{}, outs: map[outKey]*attempt{},
 		socks: &sockets{most: opt.Sockets, reserve: opt.Sockets / 8},
+		pool:  newPool(opt.Reuse, func(name string) { opt.Counters.Add(name, 1) }),
 	}
 }
 
@@ -66,7 +71,7 @@
 			if old != nil {
 				old.end()
 			}
-			old = &peer{fleet: f, addr: e.Addr, started: e.Started}
+			old = &peer{fleet: f, id: e.ID, addr: e.Addr, started: e.Started}
 			f.peers[e.ID] = old
 		}
 		old.setReady(e.State == admission.Ready)
@@ -123,8 +128,27 @@
 	}
 }
 
-// CloseIdle has nothing to do: no connection outlives the query or the probe that it was opened for.
-func (f *Fleet) CloseIdle(uint32) {}
+// CloseIdle closes the connections to an engine that carry nothing.
+func (f *Fleet) CloseIdle(engine uint32) {
+	if p := f.peer(engine); p != nil {
+		f.pool.drop(p, false)
+	}
+}
+
+// unsafe tells a request that must not run twice; one of a class that is not known is taken for such.
+func (f *Fleet) unsafe(x *exchange.Exchange) bool {
+	return x.Class < 0 || x.Class >= len(f.opt.Classes) || f.opt.Classes[x.Class].Effect != admission.Safe
+}
+
+// dial opens a connection to an engine. Where no socket is free, a connection that carries nothing makes room.
+func (f *Fleet) dial(addr string, urgent bool) (*conn, error) {
+	for {
+		c, err := f.socks.dial(addr, f.opt.ConnectTimeout, urgent)
+		if err != errNoSocket || !f.pool.evict() {
+			return c, err
+		}
+	}
+}
 
 // Probe asks an engine how it is; Told brings the answer.
 func (f *Fleet) Probe(engine uint32) {
@@ -143,18 +167,23 @@
 // peer is one start of one engine.
 type peer struct {
 	fleet   *Fleet
+	id      uint32
 	addr    string
 	started time.Duration
 
 	mu    sync.Mutex
 	ready bool
 	ended bool
+	heard time.Time // when it answered last
 }
 
 func (p *peer) setReady(ready bool) {
 	p.mu.Lock()
 	p.ready = ready && !p.ended
 	p.mu.Unlock()
+	if !ready {
+		p.fleet.pool.drop(p, false)
+	}
 }
 
 // end gives up on this start of the engine.
@@ -162,6 +191,21 @@
 	p.mu.Lock()
 	p.ready, p.ended = false, true
 	p.mu.Unlock()
+	p.fleet.pool.drop(p, true)
+}
+
+// answered tells that the engine has just answered.
+func (p *peer) answered() {
+	p.mu.Lock()
+	p.heard = time.Now()
+	p.mu.Unlock()
+}
+
+// unheard is how long ago the engine answered last.
+func (p *peer) unheard() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Since(p.heard)
 }
 
 func (p *peer) isReady() bool {
@@ -194,23 +238,35 @@
 }
 
 func (p *peer) probeOnce() (admission.Status, *admission.Report, error) {
-	c, err := p.fleet.socks.dial(p.addr, p.fleet.opt.ConnectTimeout, true)
-	if err != nil {
-		return admission.ConnectFailed, nil, err
+	c := p.fleet.pool.take(p, false)
+	if c == nil {
+		var err error
+		if c, err = p.fleet.dial(p.addr, true); err != nil {
+			return admission.ConnectFailed, nil, err
+		}
 	}
-	defer c.close()
 	c.begin("GET", "/-/gauges", p.addr)
 	if err := c.send(nil); err != nil {
+		c.close()
 		return admission.Reset, nil, err
 	}
 	r, err := c.receive(time.Now().Add(probeWait))
-	switch {
-	case isTimeout(err):
-		return admission.TimedOut, nil, err
-	case err != nil:
+	if err != nil {
+		c.close()
+		if isTimeout(err) {
+			return admission.TimedOut, nil, err
+		}
+		if isSpoilt(err) {
+			p.fleet.pool.Spoilt(p)
+		}
 		return admission.Reset, nil, err
-	case r.code != 200:
-		return admission.Errored, report(r.gauges), nil
 	}
-	return admission.OK, report(r.gauges), nil
+	p.answered()
+	rep, status := report(r.gauges), admission.OK
+	if r.code != 200 {
+		status = admission.Errored
+	}
+	c.queries++
+	p.fleet.pool.put(p, c)
+	return status, rep, nil
 }
--- a/internal/operators/cuefile/schema.cue
+++ b/internal/operators/cuefile/schema.cue
@@ -86,6 +86,11 @@
 		max_sessions: (int & >=0 & <=1048576) | *0
 	}
 
+	engines: {
+		// whether connections that have ended a query serve again: "auto" where the platform puts a price on new ones
+		reuse: *"auto" | "on" | "off"
+	}
+
 	// path of a local socket for beechctl; "" is none
 	admin_socket: string | *""
 }
--- a/internal/operators/operators.go
+++ b/internal/operators/operators.go
@@ -16,6 +16,7 @@
 
 	"beechcart/decision/membership"
 	"beechcart/decision/poll"
+	"beechcart/decision/reuse"
 	"beechcart/internal/source/consul"
 )
 
@@ -28,6 +29,13 @@
 	Consul    = "consul"
 )
 
+// The ways to treat connections to engines that have ended a query.
+const (
+	ReuseAuto = "auto" // they serve again where the platform puts a price on new ones
+	ReuseOn   = "on"
+	ReuseOff  = "off"
+)
+
 // Settings are the operators' settings.
 type Settings struct {
 	Source      string // ChangeLog or Consul
@@ -35,6 +43,7 @@
 	Consul      consul.Options
 	LastGood    LastGood
 	Clients     Clients
+	Reuse       string // ReuseAuto, ReuseOn or ReuseOff
 	AdminSocket string // path of a local socket for beechctl; empty: none
 }
 
@@ -58,6 +67,15 @@
 	return sockets * 2 / 5
 }
 
+// Connections are the bounds within which connections to engines serve again, where a new one costs that price and
+// there are so many descriptors.
+func (s *Settings) Connections(handshakePrice float64, sockets int) reuse.Settings {
+	set := reuse.Defaults()
+	set.Off = s.Reuse == ReuseOff || (s.Reuse == ReuseAuto && handshakePrice <= 0)
+	set.MostIdleAll = min(set.MostIdleAll, sockets/8) // places at engines are scarce too
+	return set
+}
+
 // LastGood is the file that keeps the last good list.
 type LastGood struct {
 	Path       string // empty: none
@@ -75,6 +93,7 @@
 			Connect: 500 * time.Millisecond, Poll: poll.Defaults(), Membership: membership.Defaults(), Mapping: consul.DefaultMapping(),
 		},
 		Clients:  Clients{Idle: 5 * time.Second},
+		Reuse:    ReuseAuto,
 		LastGood: LastGood{WriteEvery: time.Second, MaxAge: 24 * time.Hour},
 	}
 }
@@ -141,6 +160,7 @@
 			"path": word(&s.LastGood.Path), "write_every_ms": millis(&s.LastGood.WriteEvery), "max_age_ms": millis(&s.LastGood.MaxAge),
 		}.read,
 		"clients":      object{"idle_ms": millis(&s.Clients.Idle), "max_sessions": integer(&s.Clients.MaxSessions, 0, 1<<20)}.read,
+		"engines":      object{"reuse": oneOf(&s.Reuse, ReuseAuto, ReuseOn, ReuseOff)}.read,
 		"admin_socket": word(&s.AdminSocket),
 	}.read("", v)
 	switch {
--- a/internal/settings/config.go
+++ b/internal/settings/config.go
@@ -26,6 +26,7 @@
 	Admission         admission.Settings
 	Names             Names
 	ConnectTimeout    time.Duration
+	HandshakePrice    float64 // points of service for one new connection to an engine for each request
 }
 
 // Load reads the configuration file and applies the environment's name and address over it.
@@ -92,6 +93,7 @@
 	// The MySQL front carries the pause in the error's message, so it is asked of the module also where the
 	// settings know no field for it.
 	c.Admission.MaxPause = set.dur("permissions.max_retry_after")
+	c.HandshakePrice = set.number("prices.handshake")
 	if d := set.dur("permissions.connect_timeout"); d > 0 {
 		c.ConnectTimeout = d
 	}
