Send heavy work to cold engines in turns, by number and clock

Over all logs, the refusals of a draw from 10 to 20 s: 309,000 for the cold budget, 86,000 for room, 34,000 beyond the own stretch, 13,000 for own caps. The median engine held 1.9 GB (new ones, idle), the busiest tenth 22 to 40 GB of 24 (the old ones, jammed by what the new did not get). At fault: coldRoom. A heavy query is more than a part of 1/5 of the budget, so it went by a chance of 0.11 a window, and only where no small one had gone in that window, which is nearly never. Change: work much finer than the part goes within half the budget; heavier work has a turn for each gateway, by its number and the clock that all share, so that any window holds two turns at most, of 0.27 of the budget each.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -63,7 +63,10 @@
 	lossWait    = 2.5  // ... longer than this many times their expected time
 	ejectFirst  = 1 * time.Second
 	ejectMost   = 8 * time.Second
-	coldShare   = 0.5             // part of the cold budget that is used; the rest is slack for chance
+	coldFine    = 0.5             // part of the cold budget for work finer than our part of it ...
+	coldTurn    = 0.27            // ... and for each of the two turns that any window holds
+	coldSlot    = 0.55            // slots of turns in windows: half a one, and the time that a turn lasts
+	coldBegin   = 7               // part of its slot that a turn lasts
 	lateKeep    = 0.25            // late worth from which a late request stays in the queue
 	lateMargin  = 2.5             // a waiting request is late once so many times its service no longer fits
 	fitMargin   = 1.5             // times the expected time that must fit before the client leaves ...
@@ -105,12 +108,14 @@
 	return c.set.ColdFrom + (1-c.set.ColdFrom)*math.Max(age, 0)
 }
 
-// coldRoom guards against pushing a cold engine over: each gateway spends at most its part of the engine's
-// budget in any window, in the usual work of the classes, against the least it can do (ColdFrom). A part
-// under one query is a chance, drawn once a window, of a mean three deviations under the whole.
-// The parts add up over the gateways whose stretch begins near the engine: those that came to it past engines
+// coldRoom guards against pushing a cold engine over: all gateways together stay within its budget in any
+// window, in the usual work of the classes, against the least it can do (ColdFrom). Work much finer than our
+// part goes within that part. Heavier work goes in turns: each gateway whose stretch begins near it has one,
+// by its number and the clock, and no window meets more than two. By chance, and never beside fine work,
+// as before, the heavy stood for 15 s while new engines idled (j2325). Those that came to it past engines
 // ejected or erring leave it alone, and so does one that started within the window and does not know what its
-// last run spent. May harm where no gateway near it has anything to send.
+// last run spent. May harm where no gateway near it has anything to send; where clocks differ, turns meet by
+// chance.
 func (c *Controller) coldRoom(e *engine, work float64) bool {
 	if c.ready(e) >= 1 || c.set.FallMultiple <= 0 {
 		return true
@@ -118,13 +123,26 @@
 	if c.now < c.startedAt+c.set.FallWindow || !c.begins(e) {
 		return false
 	}
-	sum := work + e.spentSince(c.now-c.set.FallWindow)
-	budget := c.set.FallMultiple * c.set.ColdFrom * e.cores * c.set.FallWindow.Seconds()
+	budget, fine := c.coldBudget(e)
+	if work <= fine/2 {
+		return work+e.spentSince(c.now-c.set.FallWindow, false) <= fine
+	}
+	slot := time.Duration(coldSlot * float64(c.set.FallWindow))
+	turns := time.Duration(math.Ceil(1 / c.part))
+	if c.now/slot%turns != time.Duration(c.set.Me)%turns || c.now%slot > slot/coldBegin {
+		return false
+	}
 	if c.now >= e.luckUntil {
-		e.luck, e.luckUntil = c.rand(), c.now+c.set.FallWindow
+		e.luck, e.luckUntil = c.rand(), c.now+slot
 	}
-	root := (math.Sqrt(9+4*budget/work) - 3) / 2
-	return sum <= budget*coldShare*c.part || (len(e.spent) == 0 && e.luck < coldShare*root*root*c.part)
+	spent := e.spentSince(c.now-slot, true)
+	return spent+work <= budget*coldTurn || (spent == 0 && e.luck < budget*coldTurn/work)
+}
+
+// coldBudget is what a cold engine may get in a window, at the least, and our part of it for fine work.
+func (c *Controller) coldBudget(e *engine) (all, fine float64) {
+	all = c.set.FallMultiple * c.set.ColdFrom * e.cores * c.set.FallWindow.Seconds()
+	return all, all * coldFine * c.part
 }
 
 func (c *Controller) request(ev Request) {
@@ -636,7 +654,9 @@
 		c.extraAt = append(c.extraAt, c.now)
 	}
 	if c.ready(e) < 1 {
-		e.spent = append(e.spent, spend{c.now, c.classes[r.Class].work})
+		_, fine := c.coldBudget(e)
+		work := c.classes[r.Class].work
+		e.spent = append(e.since(c.now-c.set.FallWindow), spend{c.now, work, work > fine/2})
 	}
 	r.tries = append(r.tries, a)
 	e.outs = append(e.outs, &attemptRef{r, len(r.tries) - 1})
--- /dev/null
+++ b/admission/fleet_test.go
@@ -0,0 +1,149 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// fleetBed is many controllers on one clock, before engines that all of them share. Each engine answers after the work of
+// a request; what one front end does that hurts only when all do it shows in its sums.
+type fleetBed struct {
+	t    *testing.T
+	now  time.Duration
+	ctls []*Controller
+	ends []ending // in the order of time
+	next int      // of the requests
+
+	work   []time.Duration // of a request, by class
+	answer func(at time.Duration, ctl int, s Send) (Status, time.Duration)
+	sent   func(at time.Duration, ctl int, s Send)
+	tries  map[string]int
+}
+
+type ending struct {
+	at  time.Duration
+	ctl int
+	ev  Event
+}
+
+// newFleetBed starts n controllers with the same list.
+func newFleetBed(t *testing.T, set Settings, n int, list []Engine) *fleetBed {
+	f := &fleetBed{t: t, now: 100 * sec, tries: map[string]int{}, work: []time.Duration{100 * ms, 100 * ms}}
+	set.Replicas = n
+	for i := range n {
+		set.Me, set.Zone = i, i%max(set.Zones, 1)
+		c, err := New(set, uint64(i+1))
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.ctls = append(f.ctls, c)
+	}
+	f.answer = func(_ time.Duration, ctl int, s Send) (Status, time.Duration) {
+		r := f.ctls[ctl].reqs[s.ID]
+		return OK, r.Work / time.Duration(r.cls.Threads)
+	}
+	f.sent = func(time.Duration, int, Send) {}
+	f.tell(Members{Kind: Persisted, Engines: list})
+	return f
+}
+
+// tell hands an event to all at once.
+func (f *fleetBed) tell(ev Event) {
+	for i := range f.ctls {
+		f.step(i, ev)
+	}
+}
+
+func (f *fleetBed) later(after time.Duration, ctl int, ev Event) {
+	at := len(f.ends)
+	for at > 0 && f.ends[at-1].at > f.now+after {
+		at--
+	}
+	f.ends = append(f.ends, ending{})
+	copy(f.ends[at+1:], f.ends[at:])
+	f.ends[at] = ending{f.now + after, ctl, ev}
+}
+
+func (f *fleetBed) step(ctl int, ev ...Event) {
+	for _, a := range f.ctls[ctl].Step(f.now, ev) {
+		switch a := a.(type) {
+		case Send:
+			n := f.tries[a.ID]
+			f.tries[a.ID]++
+			f.sent(f.now, ctl, a)
+			status, after := f.answer(f.now, ctl, a)
+			f.later(after, ctl, Outcome{ID: a.ID, Attempt: n, Engine: a.Engine, Status: status, Latency: after, Closed: status == OK, Work: f.ctls[ctl].reqs[a.ID].Work})
+		case Probe:
+			f.later(2*ms, ctl, Probed{Engine: a.Engine, Status: OK, Report: &Report{Held: -1, Queue: -1, Util: 0.4, Memory: -1, Disks: -1}})
+		case SetTimer:
+			f.later(a.Delay, ctl, Timer{Token: a.Token})
+		}
+	}
+}
+
+// run plays that long with so many requests a second over all, spread evenly over the controllers; every tenth is of
+// the second class.
+func (f *fleetBed) run(long time.Duration, rate int) {
+	gap := sec / time.Duration(rate)
+	for end, arrival := f.now+long, f.now; f.now < end; {
+		if len(f.ends) > 0 && f.ends[0].at <= arrival {
+			e := f.ends[0]
+			f.ends = f.ends[1:]
+			f.now = max(f.now, e.at)
+			f.step(e.ctl, e.ev)
+			continue
+		}
+		f.now, arrival = arrival, arrival+gap
+		class := 0
+		if f.next++; f.next%10 == 0 {
+			class = 1
+		}
+		f.step(int(homeHash(f.next, 0)%uint64(len(f.ctls))), Request{ID: fmt.Sprint("c", f.next), Class: class, Left: f.ctls[0].set.Classes[class].Deadline, Group: -1, Work: f.work[class]})
+	}
+}
+
+// Six engines in ten are new within seconds. Parts of a query of a cold engine's budget were left to chance, and not
+// at all beside small work: heavy requests waited for up to 18 s while new engines held a tenth of what the others
+// did. All together must stay within the budget of each, in every window, and use it.
+func TestColdEnginesGetTheHeavyInTurns(t *testing.T) {
+	set := base()
+	set.Classes[0].Aim, set.Classes[1].Threads = 300*ms, 4
+	set.FallMultiple, set.FallWindow, set.Cold, set.ColdFrom = 4, sec, 14*sec, 0.3
+	set.Kinds = []Kind{{Cores: 12, MemoryMB: 24576}, {Cores: 12, MemoryMB: 24576}}
+	const ctls = 80
+	list := engines(30)
+	cold := map[uint32]bool{}
+	for i := range list[:18] {
+		list[i].Started, cold[list[i].ID] = 99*sec, true
+	}
+	f := newFleetBed(t, set, ctls, list)
+	type spent struct {
+		at   time.Duration
+		work float64
+	}
+	by, heavy := map[uint32][]spent{}, 0
+	f.sent = func(at time.Duration, ctl int, s Send) {
+		if cold[s.Engine] {
+			class := f.ctls[ctl].reqs[s.ID].Class
+			by[s.Engine] = append(by[s.Engine], spent{at, []float64{0.1, 3.5}[class]})
+			heavy += class
+		}
+	}
+	f.work = []time.Duration{100 * ms, 3500 * ms}
+	f.run(8*sec, 900)
+	most, budget := 0.0, 4*0.3*12*1.0
+	for _, l := range by {
+		for i := range l {
+			sum := 0.0
+			for k := i; k < len(l) && l[k].at < l[i].at+sec; k++ {
+				sum += l[k].work
+			}
+			most = max(most, sum)
+		}
+	}
+	t.Logf("%d heavy requests to cold engines in 8 s, at most %.1f s of work in a window of %.1f", heavy, most, budget)
+	if most > budget || heavy < 18*8*3/4 {
+		t.Fatalf("%d heavy requests to 18 cold engines in 8 s, at most %.1f s of work in a window of %.1f", heavy, most, budget)
+	}
+}
--- a/admission/state.go
+++ b/admission/state.go
@@ -98,8 +98,9 @@
 }
 
 type spend struct {
-	at   time.Duration
-	work float64
+	at    time.Duration
+	work  float64
+	heavy bool // went in a turn
 }
 
 type learned struct {
@@ -608,15 +609,17 @@
 	return threads, mem
 }
 
-// spentSince sums the own work sent since then, and forgets what is older.
-func (e *engine) spentSince(from time.Duration) (sum float64) {
-	keep := e.spent[:0]
+// spentSince sums the own work sent since then, heavy or fine.
+func (e *engine) spentSince(from time.Duration, heavy bool) (sum float64) {
 	for _, s := range e.spent {
-		if s.at > from {
+		if s.at > from && s.heavy == heavy {
 			sum += s.work
-			keep = append(keep, s)
 		}
 	}
-	e.spent = keep
 	return sum
 }
+
+// since is what was spent since then.
+func (e *engine) since(from time.Duration) []spend {
+	return slices.DeleteFunc(e.spent, func(s spend) bool { return s.at <= from })
+}
