Let engines of errors serve what may be repeated, and keep only the last try away

Change: no rest; loads, and safe requests on their last attempt, keep away from an engine whose share of errors is over half, as long as another near it is well. Under the same weights as before, the rest may go there.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -51,15 +51,13 @@
 	grantSpare  = 1.5  // over the corrected estimate: at 1.15 over 40% spilled, at 2.0 memory ran short
 	overdueBy   = 4.0  // an attempt is overdue after this many times its expected time, and overdueMin
 	overdueMin  = 300 * time.Millisecond
-	silentCount = 2                      // overdue attempts, with no answer since, that make an engine silent
-	badBy       = 4.0                    // times the expected time foretold that tell a bad plan ...
-	badGain     = 2.0                    // ... and expected times that another attempt must save
-	vainPart    = 0.7                    // of the time foretold to be left: notes are rough
-	errorFade   = 0.1                    // how fast an engine's share of errors falls with answers
-	errorStep   = 0.25                   // ... and rises with errors: few of own queries tell of them
-	errorMany   = 0.5                    // share of errors from which an engine rests: less still serves
-	errorRest   = 600 * time.Millisecond // after each, longer with each further one, up to errorMost
-	errorMost   = 3 * time.Second
+	silentCount = 2    // overdue attempts, with no answer since, that make an engine silent
+	badBy       = 4.0  // times the expected time foretold that tell a bad plan ...
+	badGain     = 2.0  // ... and expected times that another attempt must save
+	vainPart    = 0.7  // of the time foretold to be left: notes are rough
+	errorFade   = 0.1  // how fast an engine's share of errors falls with answers
+	errorStep   = 0.25 // ... and rises with errors: few of own queries tell of them
+	errorMany   = 0.5  // share from which an engine gets nothing that an error would end
 	resets      = 2    // in a row eject an engine: one alone may be a lost answer
 	probeMisses = 2    // failed probes in a row that eject
 	lossRate    = 0.04 // how fast the share of lost answers follows
@@ -572,8 +570,9 @@
 		ok = ok && (!e.ejected || c.healthy(e, r))
 		return e.cores * math.Max(0, 1-3*e.erring()), ok // the own stretch goes on behind one of errors
 	})
-	c.homes = c.homes[:0]
+	c.homes, c.clean = c.homes[:0], false
 	for _, e := range c.near {
+		c.clean = c.clean || e.errs <= errorMany
 		c.homes = append(c.homes, homeHash(r.Group, e.ID))
 	}
 	slices.Sort(c.homes)
@@ -799,12 +798,6 @@
 		if s == Errored {
 			e.errs += (1 - e.errs) * errorStep
 		}
-		if e.errs <= errorMany {
-			e.errTimes = 0
-		} else if s == Errored {
-			e.errTimes++
-			e.rest = c.now + min(errorRest<<min(e.errTimes-1, 3), errorMost)
-		}
 		e.lastOK, c.all.lastOK, e.strikes = c.now, c.now, 0
 		c.loss -= c.loss * lossRate
 		if e.ejected && a.sent >= e.until {
@@ -894,10 +887,10 @@
 
 // healthy lets an ejected engine have one small safe request at a time once its wait is over.
 func (c *Controller) healthy(e *engine, r *request) bool {
-	if !e.ejected && (e.errs <= errorMany || c.now < e.rest) {
-		return c.now >= e.rest
-	} else if !e.ejected { // its errors come fast: it would take all that finds no room elsewhere
-		return len(e.outs) == 0 && r.cls.Effect == Safe && len(r.tries) == 0
+	if !e.ejected {
+		// Its errors cost little where a repeat is free, and under overload it still serves some.
+		last := r.cls.Effect != Safe || len(r.tries)+1 >= c.set.MaxAttempts
+		return c.now >= e.rest && (e.errs <= errorMany || !last || !c.clean)
 	}
 	return c.now >= e.until && e.trickle == 0 && r.cls.Effect == Safe && len(r.tries) == 0 && c.rank(r) == 0
 }
--- a/admission/state.go
+++ b/admission/state.go
@@ -69,7 +69,6 @@
 	rep           Report
 	repAt         time.Duration // negative: never
 	errs          float64       // share of errors in its answers
-	errTimes      int           // errors since it began to err
 	misses        int           // failed probes in a row
 	lost          bool          // ejected for failed connects or resets: its process may have died
 	guess         time.Duration // since when it is taken for cold without word from the list
@@ -170,6 +169,7 @@
 	weights       []float64
 	near          []*engine // the own stretch, for the request in hand
 	homes         []uint64  // its hashes, for the ranking
+	clean         bool      // some engine in it answers without errors
 	order         []int     // classes by worth per work
 }
 
