--- a/admission/controller_test.go
+++ b/admission/controller_test.go
@@ -1111,13 +1111,7 @@
 		b.now += 50 * ms
 	}
 	b.c.nearby(&request{cls: &b.c.set.Classes[0], Request: Request{Group: -1}})
-	good := 0
-	for _, e := range b.c.near {
-		if e.ID != bad {
-			good++
-		}
-	}
-	if sent == 0 || late*8 > sent || good < before {
-		t.Fatalf("%d of %d sends to an engine of errors, %d others near, was %d with it", late, sent, good, before)
+	if sent == 0 || late*8 > sent || len(b.c.near) <= before {
+		t.Fatalf("%d of %d sends to an engine of errors, stretch of %d, was %d", late, sent, len(b.c.near), before)
 	}
 }
--- a/admission/fleet_test.go
+++ b/admission/fleet_test.go
@@ -131,7 +131,7 @@
 	}
 	f.run(5*sec, 600)
 	f.run(10*sec, 600)
-	if sends == 0 || sends > 15*len(users) || unsafe > len(users)/2 {
+	if sends == 0 || sends > 12*len(users) || unsafe > len(users)/2 {
 		t.Fatalf("%d sends to an engine of errors in 10 s, %d of them unsafe, by %d front ends", sends, unsafe, len(users))
 	}
 	t.Logf("%d sends, %d unsafe, by %d", sends, unsafe, len(users))
