Let grants, retry marks and pauses reach engines, the module and clients

The field r of a client's retry was passed over (statement.go, setField), so with callers.marks_retry every repeat got the aim of a first try. A refusal told its pause in words only (server.go, answer), where clients read w=MS.

Change: Terms go with the attempt (X-Reserve where a grant is set), r=1 goes to the module and any other value is an error that names the field, refusals end in w=MS. Tests at parser, planner and process fail without.

--- a/cmd/beechcart/main_test.go
+++ b/cmd/beechcart/main_test.go
@@ -41,6 +41,16 @@
 	assert.Regexp(t, `^[12]\d\d\d$`, h.Get("X-Limit-Ms"))
 }
 
+// An engine that gets no word of memory takes its own choice, and the controller books another figure.
+func TestGrantsReachTheEngine(t *testing.T) {
+	for grants, want := range map[bool]string{true: "24", false: ""} {
+		e := newEngine(t, nil)
+		r := startAs(t, strings.Replace(facts, `"lanes_count":true`, fmt.Sprintf(`"lanes_count":true,"takes_grants":%t,"most_grant":0.25`, grants), 1), e)
+		require.Zero(t, r.dial().query("lookup", 2500).code)
+		assert.Equal(t, want, e.heads[0].Get("X-Reserve"), "half over the estimate of 16 MB, where the platform takes grants")
+	}
+}
+
 func TestEndings(t *testing.T) {
 	for name, k := range map[string]struct {
 		class string
@@ -302,7 +312,7 @@
 	r.says("state=draining")
 	a := c.query("lookup", 2500)
 	assert.Contains(t, harmless, a.code, a.text)
-	assert.Regexp(t, `retry after \d+ ms`, a.text)
+	assert.Regexp(t, `; w=[1-9]\d*$`, a.text, "clients read the pause there")
 	assert.Equal(t, 1, e.count("POST"))
 	r.says("change log back")
 }
--- a/internal/engine/attempt.go
+++ b/internal/engine/attempt.go
@@ -44,7 +44,7 @@
 	n        int
 	peer     *peer
 	engine   uint32
-	priority int
+	terms    admission.Terms
 	began    time.Time
 	due      time.Time
 	stop     chan struct{} // closed when it is given up
@@ -159,7 +159,10 @@
 		a.c.header("X-Txn", a.x.ID)
 		a.c.header("X-Lane", a.x.ClassName)
 		a.c.header("X-Limit-Ms", strconv.FormatInt(time.Until(a.due).Milliseconds(), 10))
-		a.c.header("X-Weight-Class", strconv.Itoa(a.priority))
+		a.c.header("X-Weight-Class", strconv.Itoa(a.terms.Priority))
+		if a.terms.GrantMB > 0 {
+			a.c.header("X-Reserve", strconv.FormatFloat(a.terms.GrantMB, 'f', -1, 64))
+		}
 		a.asked = time.Now()
 		if err = a.c.send(a.x.Statement); err == nil {
 			break
--- a/internal/engine/fleet.go
+++ b/internal/engine/fleet.go
@@ -97,10 +97,10 @@
 	return f.peers[id]
 }
 
-// Start sends an attempt on its way; Ended will tell of it once.
-func (f *Fleet) Start(x *exchange.Exchange, n int, engine uint32, priority int, limit time.Duration) {
+// Start sends an attempt on its way under those terms; Ended will tell of it once.
+func (f *Fleet) Start(x *exchange.Exchange, n int, engine uint32, terms admission.Terms, limit time.Duration) {
 	a := &attempt{
-		fleet: f, x: x, n: n, peer: f.peer(engine), engine: engine, priority: priority,
+		fleet: f, x: x, n: n, peer: f.peer(engine), engine: engine, terms: terms,
 		began: time.Now(), stop: make(chan struct{}),
 	}
 	a.due = a.began.Add(limit)
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -19,6 +19,7 @@
 	Work      time.Duration // estimate; 0: none
 	MemMB     float64       // estimate; 0: none
 	Group     int           // group of tables; -1: none
+	Retry     bool          // its client has tried before
 	Statement []byte        // owned by the exchange
 }
 
--- a/internal/mysql/parse_test.go
+++ b/internal/mysql/parse_test.go
@@ -17,11 +17,11 @@
 }
 
 func TestParseQuery(t *testing.T) {
-	r, err := parseQuery([]byte("/* c=report,i=9b1f03aa5c7e2d41,d=1500,t=acme,h=820.5,need_mb=96,new=1 */ SELECT x FROM sales_17.orders"), names())
+	r, err := parseQuery([]byte("/* c=report,i=9b1f03aa5c7e2d41,d=1500,t=acme,h=820.5,need_mb=96,r=1,new=1 */ SELECT x FROM sales_17.orders"), names())
 	require.NoError(t, err)
 	assert.Equal(t, exchange.Request{
 		ID: "9b1f03aa5c7e2d41", ClassName: "report", Class: 1, Tenant: 0, Left: 1500 * time.Millisecond,
-		Work: 820500 * time.Microsecond, MemMB: 96, Group: 17, Statement: []byte("SELECT x FROM sales_17.orders"),
+		Work: 820500 * time.Microsecond, MemMB: 96, Group: 17, Retry: true, Statement: []byte("SELECT x FROM sales_17.orders"),
 	}, r)
 	for in, want := range map[string]string{
 		"SELECT 1":         "missing",
@@ -37,6 +37,8 @@
 		"/* c=lookup,i=9b1f03aa5c7e2d41,d=1e99 */ SELECT 1":      "field d",
 		"/* c=lookup,i=9b1f03aa5c7e2d41,d=1,h=-1 */ SELECT 1":    "field h",
 		"/* c=lookup,i=9b1f03aa5c7e2d41,d=1,need_mb=x */ SELECT": "field need_mb",
+		"/* c=lookup,i=9b1f03aa5c7e2d41,d=1,r=yes */ SELECT":     "field r",
+		"/* c=lookup,i=9b1f03aa5c7e2d41,d=1,r=1,r=1 */ SELECT":   "field \"r\" comes twice",
 		"/* c=lookup,i=9b1f03aa5c7e2d41,d=1,h=0x10 */ SELECT 1":  "field h",
 		"/* c=lookup,i=9b1f03aa5c7e2d41,d=+1 */ SELECT 1":        "field d",
 		"/* c=lookup,i=9b1f03aa5c7e2d41,d=3600001 */ SELECT 1":   "field d",
--- a/internal/mysql/server.go
+++ b/internal/mysql/server.go
@@ -426,7 +426,8 @@
 		return s.result(a.Rows, size)
 	case exchange.Refused:
 		if a.Pause > 0 {
-			a.Reason += fmt.Sprintf("; retry after %d ms", a.Pause.Milliseconds())
+			// w= is for the client's program, the rest for people.
+			a.Reason += fmt.Sprintf("; retry after %d ms; w=%[1]d", a.Pause.Milliseconds())
 		}
 		return s.fail(codeRefused, "08004", a.Reason)
 	case exchange.Failed:
--- a/internal/mysql/statement.go
+++ b/internal/mysql/statement.go
@@ -64,7 +64,7 @@
 	more  map[string]bool
 }
 
-var fieldNames = [...]string{"c", "i", "d", "t", "h", "need_mb"}
+var fieldNames = [...]string{"c", "i", "d", "t", "h", "need_mb", "r"}
 
 // add enters a name; false when it was there.
 func (s *seenFields) add(name []byte) bool {
@@ -158,6 +158,11 @@
 			return bad()
 		}
 		r.MemMB = f
+	case "r":
+		if string(value) != "1" {
+			return bad()
+		}
+		r.Retry = true
 	}
 	return nil // what is not known is passed over
 }
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -17,7 +17,7 @@
 // Engines is the server side, as the planner needs it.
 type Engines interface {
 	Update(l roster.List)
-	Start(x *exchange.Exchange, n int, engine uint32, priority int, limit time.Duration)
+	Start(x *exchange.Exchange, n int, engine uint32, terms admission.Terms, limit time.Duration)
 	Cancel(id string, n int)
 	Probe(engine uint32)
 	CloseIdle(engine uint32)
@@ -54,12 +54,12 @@
 
 // entry is a request that the controller knows.
 type entry struct {
-	x        *exchange.Exchange
-	tries    int
-	out      int
-	priority int
-	mayRun   bool // an attempt may have run
-	timer    *time.Timer
+	x      *exchange.Exchange
+	tries  int
+	out    int
+	terms  admission.Terms // of its next attempts
+	mayRun bool            // an attempt may have run
+	timer  *time.Timer
 }
 
 // Planner feeds one controller.
@@ -227,11 +227,12 @@
 		return nil
 	}
 	p.counters.Add("taken", 1)
-	e := &entry{x: x, priority: 1}
+	e := &entry{x: x, terms: admission.Terms{ID: x.ID, Priority: 1}}
 	e.timer = time.AfterFunc(wait, func() { p.post(input{kind: deadline, x: x}) })
 	p.open[x.ID] = e
 	return admission.Request{
 		ID: x.ID, Class: x.Class, Tenant: x.Tenant, Left: wait, Work: x.Work, MemMB: x.MemMB, Group: x.Group,
+		Retry: x.Retry,
 	}
 }
 
@@ -300,7 +301,7 @@
 		p.send(a)
 	case admission.Terms:
 		if e := p.open[a.ID]; e != nil {
-			e.priority = a.Priority
+			e.terms = a
 		}
 	case admission.Refuse:
 		p.refuse(a)
@@ -332,7 +333,7 @@
 	e.tries++
 	e.out++
 	p.counters.Add("sent", 1)
-	p.engines.Start(e.x, n, a.Engine, e.priority, a.Cap)
+	p.engines.Start(e.x, n, a.Engine, e.terms, a.Cap)
 }
 
 // refuse passes a refusal on, with the pause that the controller advises. A refusal says that a repeat is
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -24,13 +24,19 @@
 	return s.decide(events)
 }
 
-type engines struct{ started, cancelled int }
+type engines struct {
+	started, cancelled int
+	terms              admission.Terms // of the last start
+}
 
-func (e *engines) Update(roster.List)                                        {}
-func (e *engines) Start(*exchange.Exchange, int, uint32, int, time.Duration) { e.started++ }
-func (e *engines) Cancel(string, int)                                        { e.cancelled++ }
-func (e *engines) Probe(uint32)                                              {}
-func (e *engines) CloseIdle(uint32)                                          {}
+func (e *engines) Update(roster.List) {}
+func (e *engines) Start(_ *exchange.Exchange, _ int, _ uint32, terms admission.Terms, _ time.Duration) {
+	e.started++
+	e.terms = terms
+}
+func (e *engines) Cancel(string, int) { e.cancelled++ }
+func (e *engines) Probe(uint32)       {}
+func (e *engines) CloseIdle(uint32)   {}
 
 func newPlanner(decide func([]admission.Event) []admission.Action) (*Planner, *engines, *invariant.Counters) {
 	c, e := &invariant.Counters{}, &engines{}
@@ -63,6 +69,18 @@
 	assert.Equal(t, 1, e.started)
 }
 
+// Guards against terms that the controller counts on and the engine never hears of.
+func TestTermsGoOutWithTheAttempt(t *testing.T) {
+	x := request(time.Hour)
+	x.Retry = true
+	p, e, _ := newPlanner(func(ev []admission.Event) []admission.Action {
+		assert.True(t, ev[0].(admission.Request).Retry, "the client's mark is lost")
+		return []admission.Action{admission.Terms{ID: "a", Priority: 2, GrantMB: 144}, admission.Send{ID: "a"}}
+	})
+	p.step([]input{{kind: taken, x: x}})
+	assert.Equal(t, admission.Terms{ID: "a", Priority: 2, GrantMB: 144}, e.terms)
+}
+
 func TestNoRefusalOfAnUnsafeRequestInDoubt(t *testing.T) {
 	x := request(time.Hour)
 	p, _, c := newPlanner(func(ev []admission.Event) []admission.Action {
