Rest an engine for a class of which it answers none while it answers others

A trace of attempts: from second 8.5 on reports hang at two engines that answer all else. Those report 0 to 3 queries held, so they draw more; each report stays out until its client has left (7 s) and 2.1 s longer, and what waits for its threads holds the clients' connections.

Ruled out: ejection can't see it (watch asks for no answer at all since the attempt was sent, and the other classes are answered); notes would tell it, but this platform sends none (progress_ms 0), and cancels nothing.

Change: watch counts overdue attempts by class also. Two or more of a class, of more than one table group, sent before an engine's last answer of another class and with none of their own, while other engines answered that class lately, rest the engine for the class: 1 s, then one query at a time, further apart up to 8 s. Never for more than half of the engines. An answer, or an error, of the class ends it.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -96,6 +96,7 @@
 
 func (c *Controller) startCold(e *engine, at time.Duration) {
 	e.coldFrom, e.repAt, e.guess, e.lost, e.rest = at, -1, 0, false, 0
+	clear(e.mutes)
 	e.ejected, e.strikes, e.pace, e.factor, e.lastOK = false, 0, 1, factorStart, c.now
 }
 
@@ -555,14 +556,14 @@
 }
 
 // allowed holds the rules that bind a request to engines: keyed groups and windows, and the cold budget;
-// drains and placement are kept by nearby.
+// drains and placement are kept by nearby. It also keeps the rest of an engine for a class (quieten).
 func (c *Controller) allowed(e *engine, r *request) bool {
 	if r.doubt && r.cls.Effect == Keyed && (c.now >= r.doubtSent+r.cls.Window ||
 		(r.cls.Group == ScopeZone && e.Zone != r.doubtAt.Zone) ||
 		(r.cls.Group == ScopeCell && e.Cell != r.doubtAt.Cell)) {
 		return false
 	}
-	return c.coldRoom(e, c.classes[r.Class].work)
+	return c.now >= e.mutes[r.Class].until && c.coldRoom(e, c.classes[r.Class].work)
 }
 
 // nearby gathers the engines the request may be drawn from: along the own stretch, neither draining nor gone,
@@ -670,6 +671,10 @@
 	if e.ejected {
 		e.trickle++
 	}
+	if m := &e.mutes[r.Class]; m.hold > 0 {
+		m.hold = min(2*m.hold, ejectMost)
+		m.until = c.now + m.hold
+	}
 	c.do(Send{ID: r.ID, Engine: e.ID, Cap: r.due - c.now})
 }
 
@@ -713,6 +718,9 @@
 		c.learn(r, a, ev)
 	}
 	c.health(a.eng, a, ev)
+	if ev.Status == OK || ev.Status == Errored {
+		c.classes[r.Class].answered, a.eng.mutes[r.Class] = c.now, mute{answered: c.now}
+	}
 	if !ev.Status.NeverRan() && ev.Status != OK {
 		if !r.doubt {
 			r.doubt, r.doubtSent, r.doubtAt = true, a.sent, a.eng
@@ -837,9 +845,7 @@
 	c.fleet.used--
 	e.ejected, e.strikes, e.until, e.trickle = true, 0, c.now+ejectFirst, 0
 	c.do(Log{Text: fmt.Sprintf("engine %d ejected, %d own attempts out", e.ID, len(e.outs))})
-	for _, o := range e.outs {
-		c.takeBack(o)
-	}
+	c.takeBackAll(e, -1)
 }
 
 // takeBack withdraws an attempt out for longer than expected that may be repeated, so that it goes elsewhere.
@@ -1067,15 +1073,16 @@
 // watch looks at what is out on an engine. One that answers none is told by several own attempts overdue, not
 // all of one table group (a holder would explain that); lost answers by notes that stopped or small attempts.
 func (c *Controller) watch(e *engine) {
-	overdue, group, several := 0, 0, false
+	due := overdue{}
 	for _, o := range e.outs {
 		t, small := &o.req.tries[o.n], c.small(o.req.Class)
 		out := float64(c.now - t.sent)
 		if out > overdueBy*float64(max(t.expect, c.service(o.req, c.fleet.pace)))+float64(overdueMin) {
+			if t.sent > e.mutes[o.req.Class].answered {
+				c.classes[o.req.Class].late.add(o.req.Group, t.sent)
+			}
 			if t.sent > e.lastOK {
-				several = several || o.req.Group < 0 || (overdue > 0 && o.req.Group != group)
-				group = o.req.Group
-				overdue++
+				due.add(o.req.Group, t.sent)
 			} else if small && !t.overdue {
 				t.overdue = true
 				c.loss += (1 - c.loss) * lossRate
@@ -1086,9 +1093,27 @@
 			c.takeBack(o)
 		}
 	}
-	if overdue >= silentCount && several && c.now-e.lastOK > 3*(c.now-c.all.lastOK)+3*overdueMin {
+	if due.n >= silentCount && due.several && c.now-e.lastOK > 3*(c.now-c.all.lastOK)+3*overdueMin {
 		c.eject(e)
 	}
+	for class := range c.classes {
+		c.quieten(e, class)
+	}
+}
+
+// quieten rests an engine for a class of which it answers none while others do, and then lets one go at a
+// time, further apart each time. Guards against a class that hangs at engines that answer the rest: they look
+// idle, draw more, and hold what they get until clients leave. Never for most; may harm where one is slow.
+func (c *Controller) quieten(e *engine, class int) {
+	k, m := &c.classes[class], &e.mutes[class]
+	late := k.late
+	if k.late = (overdue{}); late.n < silentCount || !late.several || m.hold > 0 ||
+		e.lastOK < late.first || c.now-late.first <= 3*(c.now-k.answered)+3*overdueMin ||
+		2*(c.muted(class)+1) > c.fleet.used {
+		return
+	}
+	m.hold, m.until = ejectFirst, c.now+ejectFirst
+	c.do(Log{Text: fmt.Sprintf("engine %d answers nothing of class %d", e.ID, class)})
 }
 
 // told takes a peer's words of engines; what does not read, or names no engine, is passed over.
--- a/admission/further_test.go
+++ b/admission/further_test.go
@@ -425,3 +425,76 @@
 		t.Fatalf("%d engines remembered", len(b.c.engines))
 	}
 }
+
+// hangingDay plays four engines of which the first so many hang on the heavy class and answer the rest, until it ends.
+// It returns what went to those of the heavy class in each of the last windows of 5 s.
+func hangingDay(t *testing.T, hanging, windows int, until time.Duration) (sends []int, b *bed) {
+	s := base()
+	s.Replicas, s.NoteEvery = 3, 0
+	b = start(t, s, engines(4))
+	type answer struct {
+		at time.Duration
+		ev Outcome
+	}
+	var due []answer
+	sends = make([]int, windows)
+	began := b.now
+	for n := 0; b.now < began+time.Duration(windows)*5*sec; n++ {
+		b.now += 10 * ms
+		var ev []Event
+		for i := 0; i < len(due); i++ {
+			if due[i].at <= b.now {
+				ev = append(ev, due[i].ev)
+				due = append(due[:i], due[i+1:]...)
+				i--
+			}
+		}
+		if n%2 == 0 {
+			class := 0
+			if n%10 == 0 {
+				class = 1
+			}
+			ev = append(ev, Request{ID: fmt.Sprint(n), Class: class, Tenant: n % 2, Left: 4 * sec, Group: n % 7, Work: time.Duration(1+2*class) * 20 * ms})
+		}
+		for _, snd := range pick[Send](b.step(ev...)) {
+			r := b.c.reqs[snd.ID]
+			o := Outcome{ID: snd.ID, Engine: snd.Engine, Attempt: len(r.tries) - 1, Status: OK, Latency: 40 * ms, Work: r.Work, Report: &Report{Held: 1, Queue: -1, Util: 0.1, Memory: -1, Disks: -1}}
+			at := b.now + 40*ms
+			if r.Class == 1 && int(snd.Engine) <= hanging {
+				sends[int((b.now-began)/(5*sec))]++
+				if b.now < began+until {
+					at = b.now + 4*sec + 100*ms // its client has left, and it was asked for no more
+					o.Status, o.Closed = Cancelled, true
+				}
+			}
+			due = append(due, answer{at, o})
+		}
+	}
+	return sends, b
+}
+
+// TestAClassThatHangsIsKeptFromItsEngine: an engine that answers the other classes reads as idle and well. Without the rest
+// it drew more of the class that hangs there than any other, until that filled every bound.
+func TestAClassThatHangsIsKeptFromItsEngine(t *testing.T) {
+	sends, b := hangingDay(t, 1, 6, 20*sec)
+	t.Log(sends)
+	if sends[1] > 4 || sends[2] > 2 || sends[3] > 2 {
+		t.Fatalf("%v heavy queries in windows of 5 s to an engine on which they hang", sends)
+	}
+	if sends[5] < 5 {
+		t.Fatalf("%v heavy queries in windows of 5 s: it is well since 20 s, and not used", sends)
+	}
+	for _, e := range b.c.engines {
+		if e.ejected {
+			t.Fatalf("engine %d is ejected, and answers", e.ID)
+		}
+	}
+}
+
+// TestAClassIsNeverKeptFromMostEngines: where it hangs everywhere, resting them all helps nobody.
+func TestAClassIsNeverKeptFromMostEngines(t *testing.T) {
+	_, b := hangingDay(t, 4, 2, 10*sec)
+	if n := b.c.muted(1); n > 2 {
+		t.Fatalf("%d of 4 engines rest for the class", n)
+	}
+}
--- a/admission/state.go
+++ b/admission/state.go
@@ -90,6 +90,30 @@
 	ejected       bool
 	until         time.Duration // no trickle before this
 	trickle       int           // attempts out since ejection
+	mutes         []mute        // by class
+}
+
+// mute is what an engine makes of one class.
+type mute struct {
+	answered time.Duration // when it answered it last
+	until    time.Duration // nothing of it goes there before
+	hold     time.Duration // the rest in force; 0: none
+}
+
+// overdue counts attempts that are overdue.
+type overdue struct {
+	n, group int
+	several  bool          // they are not all of one group of tables
+	first    time.Duration // when the first of them was sent
+}
+
+func (t *overdue) add(group int, sent time.Duration) {
+	t.several = t.several || group < 0 || (t.n > 0 && group != t.group)
+	if t.n == 0 || sent < t.first {
+		t.first = sent
+	}
+	t.group = group
+	t.n++
 }
 
 type attemptRef struct {
@@ -109,7 +133,9 @@
 	n, memN         float64
 	estN            float64
 	fixWork, fixMem ratio
-	slow            float64 // usual slowdown on calm engines, as a logarithm
+	answered        time.Duration // when any engine answered it last
+	late            overdue       // of the engine that is looked at
+	slow            float64       // usual slowdown on calm engines, as a logarithm
 }
 
 // fleet is what the engines in use come to.
@@ -559,7 +585,7 @@
 	e := c.byID[en.ID]
 	fresh := e == nil
 	if fresh {
-		e = &engine{Engine: en, repAt: -1, coldFrom: -1, factor: factorStart, pace: 1, lastOK: c.now, hash: uint16(homeHash(0, en.ID))}
+		e = &engine{Engine: en, repAt: -1, coldFrom: -1, factor: factorStart, pace: 1, lastOK: c.now, mutes: make([]mute, len(c.classes)), hash: uint16(homeHash(0, en.ID))}
 		c.byHash[e.hash] = e
 		c.byID[en.ID] = e
 		at := sort.Search(len(c.engines), func(i int) bool {
@@ -624,3 +650,22 @@
 func (e *engine) spend(s spend, window time.Duration) {
 	e.spent = append(slices.DeleteFunc(e.spent, func(o spend) bool { return o.at <= s.at-window }), s)
 }
+
+// muted is how many engines in use rest for a class.
+func (c *Controller) muted(class int) (n int) {
+	for _, e := range c.engines {
+		if !e.gone && !e.ejected && e.mutes[class].hold > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// takeBackAll looks at what is out on an engine, of one class or of all where that is negative.
+func (c *Controller) takeBackAll(e *engine, class int) {
+	for _, o := range e.outs {
+		if class < 0 || o.req.Class == class {
+			c.takeBack(o)
+		}
+	}
+}
