--- a/admission/further_test.go
+++ b/admission/further_test.go
@@ -477,7 +477,6 @@
 // it drew more of the class that hangs there than any other, until that filled every bound.
 func TestAClassThatHangsIsKeptFromItsEngine(t *testing.T) {
 	sends, b := hangingDay(t, 1, 6, 20*sec)
-	t.Log(sends)
 	if sends[1] > 4 || sends[2] > 2 || sends[3] > 2 {
 		t.Fatalf("%v heavy queries in windows of 5 s to an engine on which they hang", sends)
 	}
@@ -491,10 +490,10 @@
 	}
 }
 
-// TestAClassIsNeverKeptFromMostEngines: where it hangs everywhere, resting them all helps nobody.
+// TestAClassIsNeverKeptFromMostEngines: one engine alone can't serve what all others are kept from.
 func TestAClassIsNeverKeptFromMostEngines(t *testing.T) {
-	_, b := hangingDay(t, 4, 2, 10*sec)
-	if n := b.c.muted(1); n > 2 {
-		t.Fatalf("%d of 4 engines rest for the class", n)
+	_, b := hangingDay(t, 3, 1, 5*sec)
+	if n := b.c.muted(1); n != 2 {
+		t.Fatalf("%d of 4 engines rest for the class, which hangs at 3", n)
 	}
 }
