Judge releases by slow answers too, and hold each front end to its own word of a drain

Cause: the machine of drains and releases compares failures, refusals and slow answers, but a front end counted only the first two, so a revision that is slow and nothing else was never halted. And drill rollout could not break late_sends: nothing told its checker when each front end heard of a drain.

The checker reads from each front end's log when a word reached it, and holds what that front end sent to that.

--- a/cmd/beechctl/drill.go
+++ b/cmd/beechctl/drill.go
@@ -82,5 +82,8 @@
 	if len(d.Policies) > 0 {
 		f.StringVar(&o.Policy, "policy", "", "a baseline in place of the program's own: "+strings.Join(d.Policies, ", "))
 	}
+	if len(d.Bads) > 0 {
+		f.StringVar(&o.Bad, "bad", d.Bads[0], "what is wrong with the bad release: "+strings.Join(d.Bads, ", "))
+	}
 	return c
 }
--- a/internal/drill/catalogue.go
+++ b/internal/drill/catalogue.go
@@ -439,7 +439,7 @@
 	for _, e := range w.dead {
 		runs = append(runs, e.Executions()...)
 	}
-	breaches := append(Check(Classes, requests, runs, &w.drains, load.surplus), w.gaps...)
+	breaches := append(Check(Classes, requests, runs, func(string) *Drains { return &w.drains }, load.surplus), w.gaps...)
 	if stopped != nil {
 		breaches = append(breaches, Breach{Crashes, time.Now(), "", stopped.Error()})
 	}
--- a/internal/drill/checker.go
+++ b/internal/drill/checker.go
@@ -42,8 +42,11 @@
 	}
 }
 
-// late tells whether a send at that time broke the promise, and by how much.
+// late tells whether a send at that time broke the promise, and by how much. A front end that was told nothing breaks none.
 func (d *Drains) late(name string, sent time.Time) (time.Duration, bool) {
+	if d == nil {
+		return 0, false
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, s := range d.list[name] {
@@ -86,8 +89,8 @@
 const answerSlack = 250 * time.Millisecond
 
 // Check holds what clients got against what engines ran. It looks at sockets only: a request is what a client sent, an
-// execution what an engine took in.
-func Check(classes []Class, requests []Request, runs []engine.Execution, drains *Drains, surplus []string) []Breach {
+// execution what an engine took in. drains is what the front end that had a request was told, by the request's id.
+func Check(classes []Class, requests []Request, runs []engine.Execution, drains func(id string) *Drains, surplus []string) []Breach {
 	var out []Breach
 	breach := func(rule string, at time.Time, id, format string, args ...any) {
 		out = append(out, Breach{rule, at, id, fmt.Sprintf(format, args...)})
@@ -95,7 +98,7 @@
 	byID := map[string][]engine.Execution{}
 	for _, x := range runs {
 		byID[x.ID] = append(byID[x.ID], x)
-		if by, late := drains.late(x.Engine, x.Sent); late {
+		if by, late := drains(x.ID).late(x.Engine, x.Sent); late {
 			breach(LateSends, x.Sent, x.ID, "%s got it %v after the grace", x.Engine, by.Round(time.Millisecond))
 		}
 	}
--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -24,6 +24,7 @@
 	Fronts  int                           // front ends, in drills of several; 0: the drill's own number
 	Faults  string                        // "all", "none" or one of the drill's kinds
 	Policy  string                        // the drill's own; empty: the program as it is
+	Bad     string                        // what is wrong with a release that must be halted; empty: the first of the drill's
 	Step    func(done, all int)           // progress; may be nil
 	Note    func(format string, a ...any) // what happens, as it happens; may be nil
 }
@@ -43,7 +44,8 @@
 	Name, Short string
 	Kinds       []string // of faults
 	Policies    []string
-	Fronts      int // front ends where none are asked for; 0: the drill has one
+	Bads        []string // what may be wrong with a release
+	Fronts      int      // front ends where none are asked for; 0: the drill has one
 	Run         func(ctx context.Context, o Options) (*Report, error)
 }
 
@@ -63,6 +65,8 @@
 		return fmt.Errorf("fronts: found %d, allowed is 6 to 96, in drills of several", o.Fronts)
 	case o.Policy != "" && !slices.Contains(d.Policies, o.Policy):
 		return fmt.Errorf("policy: found %q, allowed is %s", o.Policy, strings.Join(d.Policies, ", "))
+	case o.Bad != "" && !slices.Contains(d.Bads, o.Bad):
+		return fmt.Errorf("bad: found %q, allowed is %s", o.Bad, strings.Join(d.Bads, ", "))
 	case o.Faults != "all" && o.Faults != "none" && !slices.Contains(d.Kinds, o.Faults):
 		return fmt.Errorf("faults: found %q, allowed is all, none, %s", o.Faults, strings.Join(d.Kinds, ", "))
 	}
--- a/internal/drill/drill_test.go
+++ b/internal/drill/drill_test.go
@@ -87,10 +87,11 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			var d Drains
+			told := func(string) *Drains { return &d }
 			if k.drains != nil {
 				k.drains(&d)
 			}
-			got := Check(Classes, []Request{k.r}, k.runs, &d, k.extra)
+			got := Check(Classes, []Request{k.r}, k.runs, told, k.extra)
 			if k.want == "" {
 				assert.Empty(t, got)
 				return
@@ -106,7 +107,7 @@
 	require.NoError(t, good.Check(Catalogue))
 	for field, spoil := range map[string]func(*Options){
 		"seconds": func(o *Options) { o.Seconds = 0 }, "rate": func(o *Options) { o.Rate = 0 }, "engines": func(o *Options) { o.Engines = 1 },
-		"policy": func(o *Options) { o.Policy = "x" }, "faults": func(o *Options) { o.Faults = "x" },
+		"policy": func(o *Options) { o.Policy = "x" }, "bad": func(o *Options) { o.Bad = "x" }, "faults": func(o *Options) { o.Faults = "x" },
 	} {
 		o := good
 		spoil(&o)
--- a/internal/drill/rollout.go
+++ b/internal/drill/rollout.go
@@ -30,9 +30,16 @@
 	Fronts: rolloutFronts,
 	// Without judgement a bad release goes on until the drill's patience ends.
 	Policies: []string{"unjudged"},
+	Bads:     []string{badErrors, badSlow},
 	Run:      runRollout,
 }
 
+// What is wrong with the bad revision: its engines fail three queries in five, or take 0.7 s longer for each.
+const (
+	badErrors = "errors"
+	badSlow   = "slow"
+)
+
 // The budgets of the drill, as its checker knows them.
 const (
 	rolloutFronts = 12
@@ -49,9 +56,9 @@
 	opt    Options
 	fleet  *rig.Fleet
 	net    *rig.Net
-	log    *changelog.Log // of the good revisions
-	bad    *changelog.Log // of the bad one: the same engines, behind something that spoils
-	drains Drains
+	log    *changelog.Log     // of the good revisions
+	bad    *changelog.Log     // of the bad one: the same engines, behind something that spoils
+	drains map[string]*Drains // what each front end was told, by its address
 
 	mu      sync.Mutex
 	engines []*drained
@@ -354,7 +361,11 @@
 	if err != nil {
 		return fmt.Errorf("drill: %w", err)
 	}
-	ng, err := engine.Start("127.0.0.1:0", engine.Options{Name: d.name, Cores: 4, Sessions: 64, Classes: stock, Errs: 0.6})
+	spoilt := engine.Options{Name: d.name, Cores: 4, Sessions: 64, Classes: stock, Errs: 0.6}
+	if f.opt.Bad == badSlow {
+		spoilt.Errs, spoilt.Lag = 0, 700*time.Millisecond
+	}
+	ng, err := engine.Start("127.0.0.1:0", spoilt)
 	if err != nil {
 		return fmt.Errorf("drill: %w", err)
 	}
@@ -436,10 +447,18 @@
 	}
 }
 
-var stopping = regexp.MustCompile(`time=(\S+) .*msg=stopping .*?(exit=\d+)?$`)
+var (
+	stopping = regexp.MustCompile(`time=(\S+) .*msg=stopping .*?(exit=\d+)?$`)
+	listing  = regexp.MustCompile(`time=(\S+) .*msg="engine listed" .*engine=(\S+) .*state=(\S+)`)
+)
 
-// line follows what a front end says: when it stops taking.
+// line follows what a front end says: when it stops taking, and when the word of a drain has reached it.
 func (f *field) line(m *rig.Member, text string) {
+	if g := listing.FindStringSubmatch(text); g != nil {
+		if at, err := time.Parse(time.RFC3339Nano, g[1]); err == nil {
+			f.heard(m.Addr, g[2], g[3] != "ready", at)
+		}
+	}
 	if g := stopping.FindStringSubmatch(text); g != nil {
 		if at, err := time.Parse(time.RFC3339Nano, g[1]); err == nil {
 			m.Left(at, g[2] != "")
@@ -447,6 +466,32 @@
 	}
 }
 
+// heard tells that a front end has just taken a word on an engine.
+func (f *field) heard(addr, engine string, drains bool, at time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	d := f.drains[addr]
+	if d == nil {
+		d = &Drains{}
+		f.drains[addr] = d
+	}
+	if drains {
+		d.Told(engine, at)
+	} else {
+		d.Lifted(engine, at)
+	}
+}
+
+// toldBy is what the front end that had a request was told of drains, by the request's id. Front ends hear of a drain at
+// different times: what one did after its own word is held against that.
+func (f *field) toldBy(requests []Request) func(id string) *Drains {
+	by := make(map[string]*Drains, len(requests))
+	for _, r := range requests {
+		by[r.ID] = f.drains[r.Addr]
+	}
+	return func(id string) *Drains { return by[id] }
+}
+
 // facts are the settings of one front end of so many.
 func rolloutFacts(m *rig.Member, all int) string {
 	s := strings.Replace(Facts, `"locality":"room-a","me":0,"replicas_of_me":1`, fmt.Sprintf(`"locality":%q,"me":%d,"replicas_of_me":%d`, m.Room, m.Number, all), 1)
@@ -471,7 +516,7 @@
 		return nil, close, fmt.Errorf("drill: %w", err)
 	}
 	closers = append(closers, func() { os.RemoveAll(dir) })
-	f := &field{opt: o, net: rig.NewNet(o.Seed), busy: map[string]bool{}, figures: map[string]float64{}}
+	f := &field{opt: o, net: rig.NewNet(o.Seed), busy: map[string]bool{}, figures: map[string]float64{}, drains: map[string]*Drains{}}
 	closers = append(closers, f.net.Close)
 	for _, l := range []**changelog.Log{&f.log, &f.bad} {
 		if *l, err = changelog.Start("127.0.0.1:0"); err != nil {
@@ -763,7 +808,7 @@
 		}
 		judged = append(judged, r)
 	}
-	breaches := Check(Classes, judged, runs, &f.drains, surplus)
+	breaches := Check(Classes, judged, runs, f.toldBy(requests), surplus)
 	breach := func(rule string, at time.Time, format string, a ...any) {
 		breaches = append(breaches, Breach{rule, at, "", fmt.Sprintf(format, a...)})
 	}
--- a/internal/drill/rollout_test.go
+++ b/internal/drill/rollout_test.go
@@ -14,19 +14,21 @@
 	"github.com/stretchr/testify/require"
 
 	"beechcart/decision/rollout"
+	"beechcart/internal/drill/rig"
 	"beechcart/internal/fleet"
+	"beechcart/internal/standin/engine"
 )
 
 // The short form: rooms cut off on a fixed seed, and no faults on one drawn anew. All faults at once are played by hand
 // ('beechctl drill rollout'): docs/rollout.md tells on which seeds.
 func TestRolloutDrillKeepsTheRules(t *testing.T) {
 	for _, c := range []struct {
-		seed   uint64
-		faults string
-	}{{1, "room"}, {rand.Uint64N(1_000_000), "none"}} {
+		seed        uint64
+		faults, bad string
+	}{{1, "room", badErrors}, {rand.Uint64N(1_000_000), "none", badSlow}} {
 		t.Run(c.faults, func(t *testing.T) {
 			t.Parallel()
-			o := Options{Program: program, Seed: c.seed, Seconds: 8, Rate: 160, Engines: 6, Fronts: 6, Faults: c.faults}
+			o := Options{Program: program, Seed: c.seed, Seconds: 8, Rate: 160, Engines: 6, Fronts: 6, Faults: c.faults, Bad: c.bad}
 			r, err := Rollout.Run(context.Background(), o)
 			require.NoError(t, err, "seed %d", c.seed)
 			var b bytes.Buffer
@@ -35,10 +37,30 @@
 			assert.Greater(t, r.Figures["served"], 0.8*r.Figures["requests"], "seed %d", c.seed)
 			assert.Equal(t, 3.0, r.Figures["drains"], "seed %d: all were granted", c.seed)
 			assert.Positive(t, r.Figures["halts_bad"], "seed %d: the bad revision was halted", c.seed)
+			assert.Zero(t, r.Figures["halted_by_hand"], "seed %d: it was not halted by judgement", c.seed)
 		})
 	}
 }
 
+// Guards against a rule that can't fail: front ends hear of a drain at different times, and each is held to its own.
+func TestALateSendIsHeldAgainstTheFrontEndThatKnew(t *testing.T) {
+	t0 := time.Date(2026, 12, 1, 12, 0, 0, 0, time.UTC)
+	f := &field{drains: map[string]*Drains{}}
+	knew, other := &rig.Member{Name: "n0", Addr: "127.0.1.1:7001"}, &rig.Member{Name: "n1", Addr: "127.0.1.2:7001"}
+	f.line(knew, "time="+t0.Format("2006-01-02T15:04:05.000Z")+` level=INFO msg="engine listed" node=n0 engine=e1 id=7 state=draining address=127.0.0.1:9 reason=vetoed`)
+	runs := []engine.Execution{{Engine: "e1", ID: "a", Class: "lookup", Sent: t0.Add(600 * time.Millisecond), Ended: t0.Add(610 * time.Millisecond), Good: true}}
+	for m, want := range map[*rig.Member]int{knew: 1, other: 0} {
+		r := []Request{{ID: "a", Due: t0.Add(590 * time.Millisecond), Sent: t0.Add(590 * time.Millisecond), Latency: 30 * time.Millisecond, Outcome: Served, Addr: m.Addr}}
+		got := Check(Classes, r, runs, f.toldBy(r), nil)
+		if assert.Len(t, got, want, m.Name); want > 0 {
+			assert.Equal(t, LateSends, got[0].Rule)
+		}
+	}
+	f.line(knew, "time="+t0.Add(100*time.Millisecond).Format("2006-01-02T15:04:05.000Z")+` level=INFO msg="engine listed" node=n0 engine=e1 id=7 state=ready address=127.0.0.1:9`)
+	r := []Request{{ID: "a", Due: t0, Sent: t0, Latency: time.Second, Outcome: Served, Addr: knew.Addr}}
+	assert.Empty(t, Check(Classes, r, runs, f.toldBy(r), nil), "the drain was lifted before")
+}
+
 // Two of three keepers stand still: all serve on, nothing goes out, and agreement is back soon after them with all that was
 // agreed. Then two disks are lost, one after the other.
 func TestKeepersAreLost(t *testing.T) {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -277,6 +277,9 @@
 	if o.Status == admission.OK {
 		if in.x.Settle(exchange.Answer{Kind: exchange.Served, Rows: in.rows}) {
 			p.counters.Add("served", 1)
+			if p.late(in.x, o.Work) {
+				p.counters.Add("served_late", 1)
+			}
 		} else {
 			p.counters.Add("served_too_late", 1)
 		}
@@ -287,6 +290,13 @@
 	return o
 }
 
+// late tells an answer of which its class's aim, which grows with the work that the query took, was missed.
+func (p *Planner) late(x *exchange.Exchange, work time.Duration) bool {
+	cl := &p.classes[x.Class]
+	aim := cl.Aim + time.Duration(cl.AimStretch*float64(work)/float64(max(cl.Threads, 1)))
+	return aim > 0 && time.Since(x.Arrived) > aim
+}
+
 // forget drops a request that is answered and has nothing out.
 func (p *Planner) forget(e *entry) {
 	if e.x.Settled() && e.out == 0 {
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -69,6 +69,29 @@
 	assert.Equal(t, 1, e.started)
 }
 
+// Guards against a revision that is slow and nothing else: a release is judged by these counts.
+func TestLateAnswersAreCounted(t *testing.T) {
+	for name, k := range map[string]struct {
+		waited, work time.Duration
+		late         int64
+	}{
+		"within its aim":                 {900 * time.Millisecond, 0, 0},
+		"past its aim":                   {1100 * time.Millisecond, 0, 1},
+		"its work stretches its aim":     {1100 * time.Millisecond, 400 * time.Millisecond, 0},
+		"past the aim that its work has": {1500 * time.Millisecond, 400 * time.Millisecond, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p, _, c := newPlanner(func([]admission.Event) []admission.Action { return []admission.Action{admission.Send{ID: "a"}} })
+			p.classes = []admission.Class{{Aim: time.Second, AimStretch: 2, Threads: 2}}
+			x := exchange.New(exchange.Request{ID: "a", Left: time.Hour}, time.Now().Add(-k.waited))
+			p.step([]input{{kind: taken, x: x}})
+			p.step([]input{{kind: ended, x: x, ev: admission.Outcome{ID: "a", Status: admission.OK, Work: k.work}}})
+			assert.EqualValues(t, 1, c.Get("served"))
+			assert.Equal(t, k.late, c.Get("served_late"))
+		})
+	}
+}
+
 // Guards against terms that the controller counts on and the engine never hears of.
 func TestTermsGoOutWithTheAttempt(t *testing.T) {
 	x := request(time.Hour)
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -39,7 +39,8 @@
 	Cores    int
 	Sessions int // most queries at once
 	Classes  map[string]Class
-	Errs     float64 // share of queries that are answered with an error and not run
+	Errs     float64       // share of queries that are answered with an error and not run
+	Lag      time.Duration // that each query takes beside its work
 }
 
 // Execution is one query that was taken in.
@@ -210,7 +211,7 @@
 	h := xxh3.HashString(id)
 	spread := 0.25 + 1.5*float64(h>>40)/float64(1<<24) // mean 1
 	crowd := max(1, float64(e.threads)/float64(e.opt.Cores))
-	return time.Duration(float64(kind.Work) * spread * crowd / float64(max(1, kind.Threads)))
+	return e.opt.Lag + time.Duration(float64(kind.Work)*spread*crowd/float64(max(1, kind.Threads)))
 }
 
 func (e *Engine) running() (n int) {
