Close a keeper whose disk is full or fails a sync, and let its front end serve on

Cause: hashicorp/raft panics where it can't write a term (setCurrentTerm, raft.go 2144), so a full disk at one keeper ended its front end at the next election, with all queries that it had; and after a failed sync the store went on as if the page cache were the disk. Neither was drilled: the rig had no disk that fails.

Change: decision/keeper decides, free of I/O: what is there holds after want of room, and is opened again; anything else is a doubt, and the keeper begins anew, under another identity, only while the others agree without it; a majority in doubt forgets nothing and waits for an operator. internal/fleet carries it out: the first write that fails is the last, the library's goroutine ends in place of a panic, a mark outlives the process. A front end also starts on such a disk, and serves. The rig has faults full, sync and slow-disk through the program's own seam, and sets clocks 100 ms apart from keeper to keeper.

Measured: TestDisksOfKeepersFail starts six front ends: n0 full while the leader is killed, back under its identity; a failed sync, back as another; two in doubt: nothing agreed, nothing set aside, over 95% of requests served, no process ended.

--- a/cmd/beechcart/fleet.go
+++ b/cmd/beechcart/fleet.go
@@ -40,7 +40,7 @@
 	}
 	in := &inFleet{feed: feed, engines: engines, counters: counters, names: cfg.Names, cores: cfg.Admission.Kinds, goes: make(chan int, 1)}
 	o := fleet.Options{Name: cfg.Name, Room: f.Room, Kind: f.Kind, Revision: f.Revision, Weight: f.Weight, Gossip: f.Gossip, Dir: f.Dir,
-		Key: f.Key, Routes: f.Routes, Settings: rollout.Defaults(), Log: log}
+		Key: f.Key, Routes: f.Routes, Settings: rollout.Defaults(), DiskFaults: f.DiskFaults, Skew: f.Ahead, Log: log}
 	for _, k := range f.Keepers {
 		o.Keepers = append(o.Keepers, fleet.Address(k))
 	}
--- a/internal/drill/rig/fleet.go
+++ b/internal/drill/rig/fleet.go
@@ -62,6 +62,9 @@
 	wg      sync.WaitGroup
 }
 
+// apart is by how many milliseconds the clocks of the first members are set apart from one to the next.
+const apart = 100
+
 // startAgain is how long after its end a process is started again.
 const startAgain = 200 * time.Millisecond
 
@@ -76,6 +79,7 @@
 	base     string // its own loopback address
 	settings string // with %REVISION%
 	dir      string
+	faults   string // the file that names a fault of its disk
 
 	mu      sync.Mutex
 	front   Front
@@ -135,7 +139,7 @@
 	for i := range o.Members {
 		m := &Member{Name: fmt.Sprintf("n%d", i), Room: o.Rooms[i%len(o.Rooms)], Keeps: i < o.Keepers, Number: i, f: f,
 			base: fmt.Sprintf("%s.%d", base, i+1)}
-		m.Addr, m.dir = m.base+":7001", filepath.Join(o.Dir, m.Name+".log")
+		m.Addr, m.dir, m.faults = m.base+":7001", filepath.Join(o.Dir, m.Name+".log"), filepath.Join(o.Dir, m.Name+".disk")
 		f.Members = append(f.Members, m)
 		if m.Keeps {
 			keepers = append(keepers, fleet.Address{Name: m.Name, Log: m.base + ":7002", Ask: m.base + ":7003", Gossip: m.base + ":7004"})
@@ -169,14 +173,14 @@
 			Gossip string `json:"gossip"`
 		}
 		part := map[string]any{"gossip": m.base + ":7004", "room": m.Room, "revision": "%REVISION%", "weight": 100, "key_file": keyFile,
-			"routes": routes}
+			"routes": routes, "ahead_ms": m.Number % 3 * apart}
 		var list []keeper
 		for _, kp := range keepers {
 			list = append(list, keeper(kp))
 		}
 		part["keepers"] = list
 		if m.Keeps {
-			part["dir"] = m.dir
+			part["dir"], part["disk_faults"] = m.dir, m.faults
 		}
 		text, err := json.Marshal(part)
 		if err != nil {
@@ -404,6 +408,17 @@
 	return err
 }
 
+// FailDisk lets what the member writes of the log fail from now on, by the program's own seam: "full", "sync" or "slow"; "" ends that.
+func (m *Member) FailDisk(how string) error {
+	if how == "" {
+		return os.Remove(m.faults)
+	}
+	return os.WriteFile(m.faults, []byte(how), 0o600)
+}
+
+// Disk is where the member keeps the log.
+func (m *Member) Disk() string { return m.dir }
+
 // Disturbed tells whether the member was killed, or stood still, or was down, at any time between.
 func (m *Member) Disturbed(from, to time.Time) bool {
 	m.mu.Lock()
--- a/internal/drill/rollout.go
+++ b/internal/drill/rollout.go
@@ -154,6 +154,9 @@
 			f.rejoined(ctx, m)
 		}
 	}},
+	{"full", func(ctx context.Context, f *field, rng *rand.Rand) { f.failDisk(ctx, rng, "full") }},
+	{"sync", func(ctx context.Context, f *field, rng *rand.Rand) { f.failDisk(ctx, rng, "sync") }},
+	{"slow-disk", func(ctx context.Context, f *field, rng *rand.Rand) { f.failDisk(ctx, rng, "slow") }},
 	{"keepers", func(ctx context.Context, f *field, rng *rand.Rand) {
 		// All that keep the log at once: nothing is agreed for a while, and nothing of it may be lost.
 		f.mu.Lock()
@@ -226,6 +229,24 @@
 	f.mu.Unlock()
 }
 
+// failDisk lets a keeper's disk fail for a while. Its process goes on, and it is among the keepers again soon after.
+func (f *field) failDisk(ctx context.Context, rng *rand.Rand, how string) {
+	m := f.take(rng, true)
+	if m == nil {
+		return
+	}
+	defer f.give(m)
+	f.opt.note("the disk of %s fails: %s", m.Name, how)
+	if err := m.FailDisk(how); err != nil {
+		f.opt.note("%v", err)
+	}
+	pause(ctx, between(rng, time.Second, 5*time.Second))
+	if err := m.FailDisk(""); err != nil {
+		f.opt.note("%v", err)
+	}
+	f.rejoined(ctx, m)
+}
+
 // back waits until a member's process listens again.
 func (f *field) back(ctx context.Context, m *rig.Member) {
 	pause(ctx, 100*time.Millisecond)
--- a/internal/drill/rollout_test.go
+++ b/internal/drill/rollout_test.go
@@ -6,6 +6,9 @@
 	"errors"
 	"math/rand/v2"
 	"net"
+	"os"
+	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -115,6 +118,95 @@
 	assert.True(t, errors.As(f.fleet.Client.Init(), new(*fleet.RefusedError)), "no second fleet is begun")
 }
 
+// The disk of a keeper is full while another one is killed, so that it would have to vote; then a sync fails; then two. Its front end
+// serves on through all of it. Without the mends the full disk ended the process: the library panics on a term that it can't write.
+func TestDisksOfKeepersFail(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 90*time.Second)
+	defer cancel()
+	f, end, err := open(ctx, Options{Program: program, Seed: 6, Seconds: 2, Rate: 60, Engines: 4, Fronts: 6, Faults: "none"})
+	require.NoError(t, err)
+	defer end()
+	r, err := f.apply(ctx, rollout.Command{Drain: &rollout.Holder{Name: "e1", Engine: true}})
+	require.NoError(t, err)
+	require.Nil(t, r.Refusal)
+	n0 := f.fleet.Members[0]
+	leader := func() string {
+		if s := f.state(); s != nil && len(s.Servers) == 3 {
+			return s.Keeper
+		}
+		return ""
+	}
+	identity := func(name string) string {
+		if s := f.state(); s != nil {
+			for _, id := range s.Servers {
+				if strings.HasPrefix(id, name+".") {
+					return id
+				}
+			}
+		}
+		return ""
+	}
+	has := func() bool {
+		s, err := f.fleet.Client.StatusOf("n0")
+		return err == nil && s.State.Permits[r.Permit] != nil && leader() != ""
+	}
+	require.Eventually(t, has, 10*time.Second, 20*time.Millisecond)
+	was := identity("n0")
+
+	require.NoError(t, n0.FailDisk("full"))
+	at := leader()
+	for _, m := range f.fleet.Members[1:3] {
+		if m.Name == at {
+			m.Signal(syscall.SIGKILL)
+			f.back(ctx, m)
+		}
+	}
+	require.Eventually(t, func() bool { at := leader(); return at != "" && at != "n0" }, 15*time.Second, 20*time.Millisecond, "the others agree")
+	_, err = f.apply(ctx, rollout.Command{Undrain: &rollout.Holder{Name: "e3", Engine: true}}) // something to write
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { _, err := f.fleet.Client.StatusOf("n0"); return err != nil }, 15*time.Second, 20*time.Millisecond, "it keeps the log no more")
+	require.NoError(t, n0.FailDisk(""))
+	require.Eventually(t, has, 20*time.Second, 20*time.Millisecond, "it keeps it again")
+	assert.Equal(t, was, identity("n0"), "what is on a full disk holds")
+
+	require.NoError(t, n0.FailDisk("sync"))
+	_, err = f.apply(ctx, rollout.Command{Undrain: &rollout.Holder{Name: "e3", Engine: true}})
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { _, err := f.fleet.Client.StatusOf("n0"); return err != nil }, 15*time.Second, 20*time.Millisecond)
+	require.NoError(t, n0.FailDisk(""))
+	require.Eventually(t, func() bool { id := identity("n0"); return id != "" && id != was && has() }, 20*time.Second, 20*time.Millisecond,
+		"a disk in doubt is another keeper's")
+
+	// A majority in doubt: nothing is agreed, nothing set aside, and all serve on.
+	var before []string
+	for _, m := range f.fleet.Members[:2] {
+		before = append(before, identity(m.Name))
+		require.NoError(t, m.FailDisk("sync"))
+	}
+	_, _ = f.fleet.Client.Apply(rollout.Command{ID: "lost", By: "a test", Tick: &struct{}{}})
+	require.Eventually(t, func() bool { return f.state() == nil }, 15*time.Second, 20*time.Millisecond)
+	load := &Load{Rate: 60, Classes: Classes, Rand: rand.New(rand.NewPCG(1, 2)), Pick: f.pick(), Lost: f.lost}
+	requests := load.Run(ctx, 3*time.Second)
+	served := 0
+	for _, q := range requests {
+		if q.Outcome == Served {
+			served++
+		}
+	}
+	assert.Greater(t, served, len(requests)*95/100, "of %d requests", len(requests))
+	for i, m := range f.fleet.Members[:2] {
+		require.NoError(t, m.FailDisk(""))
+		text, err := os.ReadFile(filepath.Join(m.Disk(), "identity"))
+		require.NoError(t, err)
+		assert.Equal(t, before[i], strings.TrimSpace(string(text)), "%s has set a disk aside of which a majority was in doubt", m.Name)
+	}
+	for _, m := range f.fleet.Members {
+		for _, p := range m.Processes() {
+			assert.True(t, p.Killed || p.Ended.IsZero(), "%s ended by itself", m.Name)
+		}
+	}
+}
+
 // A client that sent its request again, under the same id, to another front end after the first was killed made the query
 // run twice: a killed front end's connections end just as those of one that had nothing open.
 func TestWhatAKilledFrontHeldIsNotSentAgain(t *testing.T) {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -13,9 +13,11 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/raft"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"beechcart/decision/keeper"
 	"beechcart/decision/rollout"
 )
 
@@ -56,10 +58,10 @@
 	dir := filepath.Join(t.TempDir(), "log")
 	ahead := uint64(time.Now().Add(time.Hour).UnixNano())
 	require.NoError(t, os.WriteFile(dir+".process", []byte(strconv.FormatUint(ahead, 10)), 0o600))
-	got, err := incarnation(dir)
+	got, err := incarnation(dir, time.Now())
 	require.NoError(t, err)
 	assert.Equal(t, ahead+1, got)
-	got, err = incarnation(dir)
+	got, err = incarnation(dir, time.Now())
 	require.NoError(t, err)
 	assert.Equal(t, ahead+2, got)
 }
@@ -130,6 +132,60 @@
 	assert.False(t, k.leads(), "a keeper without a past begins nothing by itself")
 }
 
+// On a full disk the library can't write the term that it votes in, and panics; the front end must serve on. The keeper is closed,
+// and goes on from what is there once there is room.
+func TestAFullDiskEndsTheKeeperOnly(t *testing.T) {
+	o := options(t)
+	o.DiskFaults = filepath.Join(t.TempDir(), "fault")
+	full := func() { require.NoError(t, os.WriteFile(o.DiskFaults, []byte("full"), 0o600)) }
+	k, err := OpenKeeper(o)
+	require.NoError(t, err)
+	require.NoError(t, k.Init())
+	leads := func() bool { return k.leads() }
+	require.Eventually(t, leads, 10*time.Second, 10*time.Millisecond)
+	was := k.id
+
+	full()
+	_, err = k.Apply(rollout.Command{Tick: &struct{}{}})
+	require.Error(t, err)
+	<-k.disk.failed
+	assert.Equal(t, keeper.Full, kindOf(k.disk.reason()))
+	assert.Error(t, k.disk.Set([]byte("a"), []byte("b")), "nothing more is written after a failure")
+	require.Eventually(t, func() bool { return k.raft.State() == raft.Candidate }, 10*time.Second, 10*time.Millisecond, "it stands for election")
+	ended := make(chan bool, 1)
+	go func() {
+		returned := false
+		defer func() { ended <- returned }()
+		_ = k.disk.SetUint64([]byte(currentTerm), 99)
+		returned = true
+	}()
+	assert.False(t, <-ended, "the library panics on what this returns")
+	k.Close()
+
+	_, err = OpenKeeper(o)
+	var bad *diskError
+	assert.ErrorAs(t, err, &bad, "it can't be opened to be written")
+	require.NoError(t, os.Remove(o.DiskFaults))
+	k, err = OpenKeeper(o)
+	require.NoError(t, err)
+	defer func() { k.Close() }()
+	assert.Equal(t, was, k.id)
+	require.Eventually(t, leads, 10*time.Second, 10*time.Millisecond)
+}
+
+func TestOnlyWantOfRoomProvesWhatIsThere(t *testing.T) {
+	for word, want := range map[string]keeper.Kind{"full": keeper.Full, "sync": keeper.Doubt} {
+		path := filepath.Join(t.TempDir(), "fault")
+		require.NoError(t, os.WriteFile(path, []byte(word), 0o600))
+		wrote := false
+		err := spoil(path, func() error { wrote = true; return nil })
+		require.Error(t, err)
+		assert.Equal(t, want, kindOf(err))
+		assert.Equal(t, want == keeper.Doubt, wrote)
+	}
+	assert.Equal(t, keeper.Doubt, kindOf(io.ErrUnexpectedEOF), "what is not known is a doubt")
+}
+
 func TestCallsNeedTheKey(t *testing.T) {
 	o := options(t)
 	k, err := OpenKeeper(o)
--- a/internal/fleet/keeper.go
+++ b/internal/fleet/keeper.go
@@ -20,7 +20,6 @@
 	"github.com/google/renameio/v2"
 	"github.com/hashicorp/go-hclog"
 	"github.com/hashicorp/raft"
-	raftboltdb "github.com/hashicorp/raft-boltdb/v2"
 
 	"beechcart/decision/rollout"
 )
@@ -32,7 +31,7 @@
 	id    string // this disk's identity
 	log   *slog.Logger
 	raft  *raft.Raft
-	store *raftboltdb.BoltStore
+	disk  *disk
 	trans *raft.NetworkTransport
 	http  *http.Server
 
@@ -83,17 +82,17 @@
 		return nil, err
 	}
 	quiet := hclog.New(&hclog.LoggerOptions{Name: "raft", Level: hclog.Warn, Output: logWriter{o.Log, "raft"}, DisableTime: true})
-	if k.store, err = raftboltdb.New(raftboltdb.Options{Path: filepath.Join(o.Dir, "log.db")}); err != nil {
+	if k.disk, err = openDisk(o.Dir, o.DiskFaults); err != nil {
 		return nil, fmt.Errorf("fleet: %s: %w", o.Dir, err)
 	}
 	snaps, err := raft.NewFileSnapshotStoreWithLogger(o.Dir, 2, quiet)
 	if err != nil {
-		k.store.Close()
+		k.disk.Close()
 		return nil, fmt.Errorf("fleet: %w", err)
 	}
 	stream, err := listen(o, k.me.Log, k.id)
 	if err != nil {
-		k.store.Close()
+		k.disk.Close()
 		return nil, err
 	}
 	k.trans = raft.NewNetworkTransportWithConfig(&raft.NetworkTransportConfig{Stream: stream, MaxPool: 2, Timeout: askWait, Logger: quiet})
@@ -101,10 +100,19 @@
 	c.LocalID, c.Logger = raft.ServerID(k.id), quiet
 	c.HeartbeatTimeout, c.ElectionTimeout, c.LeaderLeaseTimeout = 600*time.Millisecond, 600*time.Millisecond, 400*time.Millisecond
 	c.CommitTimeout, c.SnapshotThreshold, c.TrailingLogs = 20*time.Millisecond, 4096, 2048
-	if k.raft, err = raft.NewRaft(c, (*machine)(k), k.store, k.store, snaps, k.trans); err != nil {
+	// The library writes its term here already: where that fails, the goroutine that does it ends (SetUint64).
+	begun := make(chan struct{})
+	go func() {
+		defer close(begun)
+		k.raft, err = raft.NewRaft(c, (*machine)(k), k.disk, k.disk, snaps, k.trans)
+	}()
+	if <-begun; k.raft == nil {
+		if why := k.disk.reason(); why != nil {
+			err = &diskError{why}
+		}
 		k.trans.Close()
-		k.store.Close()
-		return nil, fmt.Errorf("fleet: %w", err)
+		k.disk.Close()
+		return nil, fmt.Errorf("fleet: %s: %w", o.Dir, err)
 	}
 	l, err := net.Listen("tcp", k.me.Ask)
 	if err != nil {
@@ -127,7 +135,7 @@
 	_ = k.raft.Shutdown().Error()
 	_ = k.trans.Close()
 	k.done.Wait()
-	_ = k.store.Close()
+	_ = k.disk.Close()
 }
 
 // address is where this keeper's log is reached, with the identity that calls must be meant for.
@@ -211,7 +219,7 @@
 // Apply enters a command into the log, with this keeper's time in it, and returns the machine's answer. An error tells that
 // it is not known whether it was taken: the same command, under its id, may be tried again.
 func (k *Keeper) Apply(c rollout.Command) (rollout.Result, error) {
-	c.At = time.Duration(time.Now().UnixNano())
+	c.At = time.Duration(k.opt.now().UnixNano())
 	text, err := json.Marshal(c)
 	if err != nil {
 		return rollout.Result{}, err
--- a/internal/fleet/lead.go
+++ b/internal/fleet/lead.go
@@ -97,7 +97,7 @@
 
 // due lists the commands that the leader enters by itself.
 func (k *Keeper) due(heard map[string]uint64, silent map[string]time.Time, engines []rollout.Engine) (out []rollout.Command) {
-	now := time.Now()
+	now := k.opt.now()
 	windows, numbers := k.counts.whole(window(now) - 2)
 	k.look(func(m *rollout.Machine) {
 		for name, o := range m.Members {
--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -33,7 +33,6 @@
 	log    *slog.Logger
 	front  Front
 	client *Client
-	keeper *Keeper
 	gossip *gossip
 	inc    uint64
 
@@ -69,32 +68,30 @@
 	m.opt.Log = m.log
 	m.client = NewClient(&m.opt)
 	var err error
-	if m.inc, err = incarnation(o.Dir); err != nil {
+	if m.inc, err = incarnation(o.Dir, o.now()); err != nil {
 		return nil, err
 	}
 	if m.gossip, err = openGossip(&m.opt, m.inc); err != nil {
 		return nil, err
 	}
 	if m.opt.keeper() != nil {
-		if m.keeper, err = OpenKeeper(&m.opt); err != nil {
+		if err = m.openLog(); err != nil {
 			m.gossip.close()
 			return nil, err
 		}
-		m.keeper.done.Add(1)
-		go m.keeper.lead(m.gossip, front.Engines)
 	}
 	m.done.Add(3)
 	go m.talk()
 	go m.watch()
 	go m.count()
-	m.log.Info("in the fleet", "process", m.inc, "revision", o.Revision, "keeps", m.keeper != nil)
+	m.log.Info("in the fleet", "process", m.inc, "revision", o.Revision, "keeps", m.opt.keeper() != nil)
 	return m, nil
 }
 
 // incarnation numbers this process: by the clock, and over the last one where there is a folder to remember it. Guards
 // against a clock that was set back, where every word of the new process would be taken for an old one's.
-func incarnation(dir string) (uint64, error) {
-	now := uint64(time.Now().UnixNano())
+func incarnation(dir string, clock time.Time) (uint64, error) {
+	now := uint64(clock.UnixNano())
 	if dir == "" {
 		return now, nil
 	}
@@ -164,9 +161,6 @@
 	}
 	close(m.stop)
 	m.done.Wait()
-	if m.keeper != nil {
-		m.keeper.Close()
-	}
 	m.gossip.close()
 }
 
@@ -341,7 +335,7 @@
 	defer m.done.Done()
 	last, began := m.front.Counted(), time.Now()
 	for {
-		now := time.Now()
+		now := m.opt.now()
 		next := time.Unix(0, (window(now)+1)*int64(countsFor))
 		if !m.rest(next.Sub(now)) {
 			return
--- a/internal/fleet/options.go
+++ b/internal/fleet/options.go
@@ -21,9 +21,14 @@
 	Key              string            // shared by all; 16, 24 or 32 bytes
 	Routes           map[string]string // addresses that are dialled in place of others
 	Settings         rollout.Settings  // of a fleet that has agreed on none yet
+	DiskFaults       string            // a file that names a fault of the log's disk, for drills
+	Skew             time.Duration     // by which this front end's clock is ahead of the machine's, for drills
 	Log              *slog.Logger
 }
 
+// now is this front end's clock.
+func (o *Options) now() time.Time { return time.Now().Add(o.Skew) }
+
 // Address is where a front end that keeps the log is reached.
 type Address struct {
 	Name   string
--- a/internal/operators/cuefile/schema.cue
+++ b/internal/operators/cuefile/schema.cue
@@ -112,5 +112,9 @@
 		key_file: string | *""
 		// "FROM=TO": addresses that are dialled in place of others
 		routes: *[] | [...=~"^.+=.+$"]
+		// for drills: a file that holds "full", "sync" or "slow" while the log's disk is to fail so
+		disk_faults: string | *""
+		// for drills: by how much the clock is taken to be ahead of the machine's
+		ahead_ms: (int & >=0 & <=3600000) | *0
 	}
 }
--- a/internal/operators/operators.go
+++ b/internal/operators/operators.go
@@ -58,6 +58,8 @@
 	Key                  string
 	KeyFile              string
 	Routes               map[string]string // "FROM=TO" each: addresses that are dialled in place of others
+	DiskFaults           string            // for drills: a file that names a fault of the log's disk
+	Ahead                time.Duration     // for drills: by which the fleet's part takes the clock to be ahead of the machine's
 }
 
 // Keeper is a front end that keeps the agreed log.
@@ -184,6 +186,7 @@
 			"room": word(&s.Fleet.Room), "kind": word(&s.Fleet.Kind), "revision": word(&s.Fleet.Revision),
 			"weight": number(&s.Fleet.Weight), "gossip": word(&s.Fleet.Gossip), "dir": word(&s.Fleet.Dir),
 			"key_file": word(&s.Fleet.KeyFile), "keepers": keepers(&s.Fleet.Keepers), "routes": routes(&s.Fleet.Routes),
+			"disk_faults": word(&s.Fleet.DiskFaults), "ahead_ms": millis(&s.Fleet.Ahead),
 		}.read,
 	}.read("", v)
 	switch {
