--- a/admission/controller.go
+++ b/admission/controller.go
@@ -146,7 +146,7 @@
 // coldBudget is what a cold engine may get in a window, at the least, our part of it for fine work, and
 // whether this work is too heavy for that part.
 func (c *Controller) coldBudget(e *engine, work float64) (all, fine float64, heavy bool) {
-	all = c.set.FallMultiple * c.set.ColdFrom * e.cores * c.set.FallWindow.Seconds()
+	all = c.set.FallMultiple * (c.set.ColdFrom + c.ready(e)) / 2 * e.cores * c.set.FallWindow.Seconds()
 	fine = all * coldFine * c.part
 	return all, fine, work > fine/2
 }
