--- a/decision/rollout/permit.go
+++ b/decision/rollout/permit.go
@@ -119,17 +119,20 @@
 	if r := m.Release; p.Release != 0 && !m.skip(checkHaltedBegin) && (r == nil || r.Number != p.Release || r.State != Running) {
 		return refuse(NoPermit, "release %d is not running", p.Release) // one that was told to go before may yet hand it back
 	}
-	if p.Begun > 0 {
-		return Result{Permit: p.Number, Go: true} // the answer was lost
-	}
-	// What happened since the grant counts too: a budget that others have used up lets nobody go by choice.
+	// What happened since the grant counts too: a budget that others have used up lets nobody go by choice. Also one that asks again, since its
+	// answer was lost: it has not gone, and counts as out until it has handed the permit back.
 	if !m.skip(checkBeginBudget) {
 		if no := m.fits(m.memberTally(p.Release != 0 && m.Release.Back), m.memberUnit(o)); no != nil {
-			m.end(p)
+			if p.Begun == 0 {
+				m.end(p)
+			}
 			no.Out = out(m.memberUnits(), b.Name)
 			return Result{Refusal: no}
 		}
 	}
+	if p.Begun > 0 {
+		return Result{Permit: p.Number, Go: true}
+	}
 	p.Begun = m.Now
 	if p.For == Restart {
 		o.Wanted = p.Revision
--- a/decision/rollout/release_test.go
+++ b/decision/rollout/release_test.go
@@ -416,3 +416,24 @@
 	b.do(Command{Empty: &Empty{"n1", 2, p}})
 	assert.NotZero(t, b.m.Permits[p].MayStop)
 }
+
+// One that is told to go and does not hear it asks again: in the meantime two others may have gone without being asked. Drill rollout, seed
+// 2008, let a third one out on the old answer.
+func TestAnAnswerThatWasLostIsNoPermissionForGood(t *testing.T) {
+	b := newBed(t, 6, nil)
+	p := b.do(Command{Drain: &Holder{Name: "n0"}}).Permit
+	require.NotZero(t, p)
+	begin := Command{Begin: &Begin{"n0", 1, p}}
+	require.True(t, b.do(begin).Go)
+	require.True(t, b.do(begin).Go, "nothing has changed: the answer was lost")
+	for _, name := range []string{"n1", "n2"} {
+		require.Nil(t, b.do(Command{Doubt: &Doubt{Name: name, Incarnation: 1}}).Refusal)
+	}
+	r := b.do(begin)
+	require.NotNil(t, r.Refusal)
+	assert.False(t, r.Go)
+	assert.Equal(t, []string{"n1", "n2"}, r.Refusal.Out)
+	require.NotNil(t, b.m.Permits[p], "it may have gone for all that is known: it counts as out until it says that it stays")
+	require.Nil(t, b.do(Command{Return: &Begin{"n0", 1, p}}).Refusal)
+	assert.Nil(t, b.m.Permits[p])
+}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -173,6 +174,32 @@
 	require.Eventually(t, leads, 10*time.Second, 10*time.Millisecond)
 }
 
+// Two of three members are gone at once, so nobody shares the suspicion of the third. It took 5.4 s and more to give them up, and as long
+// they counted as in: drill rollout, seed 2005, let a member out beside two that were out.
+func TestMembersThatAreGoneAreSoonNotHeardOf(t *testing.T) {
+	first := options(t)
+	var all []*gossip
+	for i := range 3 {
+		o := *first
+		o.Name = fmt.Sprint("n", i)
+		if i > 0 {
+			o.Gossip = options(t).Gossip
+		}
+		g, err := openGossip(&o, uint64(i+1))
+		require.NoError(t, err)
+		all = append(all, g)
+	}
+	defer all[0].close()
+	require.Eventually(t, func() bool { return len(all[0].heard()) == 3 }, 10*time.Second, 10*time.Millisecond)
+	for _, g := range all[1:] {
+		close(g.stop)
+		require.NoError(t, g.list.Shutdown(), "without a word")
+	}
+	gone := time.Now()
+	require.Eventually(t, func() bool { return len(all[0].heard()) == 1 }, 20*time.Second, 10*time.Millisecond)
+	assert.Less(t, time.Since(gone), 4*time.Second)
+}
+
 func TestOnlyWantOfRoomProvesWhatIsThere(t *testing.T) {
 	for word, want := range map[string]keeper.Kind{"full": keeper.Full, "sync": keeper.Doubt} {
 		path := filepath.Join(t.TempDir(), "fault")
--- a/internal/fleet/gossip.go
+++ b/internal/fleet/gossip.go
@@ -70,6 +70,10 @@
 	c.ProbeInterval, c.ProbeTimeout, c.SuspicionMult = 300*time.Millisecond, 150*time.Millisecond, 3
 	c.GossipInterval, c.PushPullInterval, c.TCPTimeout = 100*time.Millisecond, 5*time.Second, time.Second
 	c.DeadNodeReclaimTime = time.Second // a member comes back at another port
+	// A suspicion that nobody shares lasts the longest time, and one's own bad health stretches the probes: by default 5.4 s, and
+	// eight times the interval. So long a member that is gone counted as in, and others were let out beside it. A doubt that is
+	// wrong costs a permit for a moment and frees nothing.
+	c.SuspicionMaxTimeoutMult, c.AwarenessMaxMultiplier = 1, 2
 	list, err := memberlist.Create(c)
 	if err != nil {
 		_ = t.Shutdown()
@@ -102,11 +106,11 @@
 	}
 }
 
-// heard tells the process of each member that is heard of.
+// heard tells the process of each member that is heard of, or suspected for less than a moment: the library tells no difference.
 func (g *gossip) heard() map[string]uint64 {
 	out := map[string]uint64{}
 	for _, n := range g.list.Members() {
-		if inc, err := strconv.ParseUint(string(n.Meta), 10, 64); err == nil && n.State == memberlist.StateAlive {
+		if inc, err := strconv.ParseUint(string(n.Meta), 10, 64); err == nil {
 			out[n.Name] = inc
 		}
 	}
--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -306,6 +306,7 @@
 	if m.asked[p.Number] || p.Lifted {
 		return false
 	}
+	asked := time.Now()
 	r, err := m.client.Apply(rollout.Command{Begin: &rollout.Begin{Name: m.opt.Name, Incarnation: m.inc, Permit: p.Number}})
 	if err != nil {
 		return true // it may have been taken: ask again, under the same number
@@ -321,6 +322,10 @@
 	if !r.Go {
 		return false
 	}
+	// Guards against an answer that was long on its way, or a process that stood still with it in hand: others may be out by now.
+	if time.Since(asked) > goWithin {
+		return true
+	}
 	m.asked[p.Number] = true
 	m.log.Info("going out", "permit", p.Number, "for", string(p.For), "revision", p.Revision)
 	select {
--- a/internal/fleet/options.go
+++ b/internal/fleet/options.go
@@ -93,6 +93,7 @@
 	watchWait = 2 * time.Second         // a watch that brings nothing new
 	agreeWait = 2 * time.Second         // for the log to take a command
 	leadEvery = 100 * time.Millisecond  // the leader's own look around
-	doubtFor  = 1200 * time.Millisecond // not heard of for so long is doubted
+	doubtFor  = 700 * time.Millisecond  // not heard of for so long is doubted
 	countsFor = 2 * time.Second         // a window of counts
+	goWithin  = time.Second             // a permission to go out that is older is asked for again
 )
