--- a/internal/drill/rollout_test.go
+++ b/internal/drill/rollout_test.go
@@ -64,24 +64,21 @@
 	assert.Empty(t, Check(Classes, r, runs, f.toldBy(r), nil), "the drain was lifted before")
 }
 
-// Two of three keepers stand still: all serve on, nothing goes out, and agreement is back soon after them with all that was
-// agreed. Then two disks are lost, one after the other.
-func TestKeepersAreLost(t *testing.T) {
+// drainedFleet starts six front ends, three of them keepers, that have agreed on the drain of e1 under the permit.
+func drainedFleet(t *testing.T, seed uint64) (ctx context.Context, f *field, permit uint64) {
 	ctx, cancel := context.WithTimeout(context.Background(), 90*time.Second)
-	defer cancel()
-	f, end, err := open(ctx, Options{Program: program, Seed: 5, Seconds: 2, Rate: 60, Engines: 4, Fronts: 6, Faults: "none"})
+	t.Cleanup(cancel)
+	f, end, err := open(ctx, Options{Program: program, Seed: seed, Seconds: 2, Rate: 60, Engines: 4, Fronts: 6, Faults: "none"})
 	require.NoError(t, err)
-	defer end()
+	t.Cleanup(end)
 	r, err := f.apply(ctx, rollout.Command{Drain: &rollout.Holder{Name: "e1", Engine: true}})
 	require.NoError(t, err)
 	require.Nil(t, r.Refusal)
+	return ctx, f, r.Permit
+}
 
-	n0, n1 := f.fleet.Members[0], f.fleet.Members[1]
-	require.True(t, n0.Keeps && n1.Keeps)
-	n0.Signal(syscall.SIGSTOP)
-	n1.Signal(syscall.SIGSTOP)
-	_, err = f.fleet.Client.Apply(rollout.Command{ID: "lost", By: "a test", Start: &rollout.Start{Revision: "r2", Waves: []float64{1}}})
-	require.Error(t, err, "nothing is agreed")
+// assertServes plays 3 s of requests, of which nearly all are served.
+func assertServes(t *testing.T, ctx context.Context, f *field) {
 	load := &Load{Rate: 60, Classes: Classes, Rand: rand.New(rand.NewPCG(1, 2)), Pick: f.pick(), Lost: f.lost}
 	requests := load.Run(ctx, 3*time.Second)
 	served := 0
@@ -91,6 +88,20 @@
 		}
 	}
 	assert.Greater(t, served, len(requests)*95/100, "of %d requests", len(requests))
+}
+
+// Two of three keepers stand still: all serve on, nothing goes out, and agreement is back soon after them with all that was
+// agreed. Then two disks are lost, one after the other.
+func TestKeepersAreLost(t *testing.T) {
+	ctx, f, permit := drainedFleet(t, 5)
+
+	n0, n1 := f.fleet.Members[0], f.fleet.Members[1]
+	require.True(t, n0.Keeps && n1.Keeps)
+	n0.Signal(syscall.SIGSTOP)
+	n1.Signal(syscall.SIGSTOP)
+	_, err := f.fleet.Client.Apply(rollout.Command{ID: "lost", By: "a test", Start: &rollout.Start{Revision: "r2", Waves: []float64{1}}})
+	require.Error(t, err, "nothing is agreed")
+	assertServes(t, ctx, f)
 	for _, m := range f.fleet.Members {
 		assert.Len(t, m.Processes(), 1, "%s went out, and nothing was agreed", m.Name)
 	}
@@ -99,7 +110,7 @@
 	back := time.Now()
 	has := func() bool {
 		s := f.state()
-		return s != nil && len(s.Servers) == 3 && s.State.Permits[r.Permit] != nil && s.State.Permits[r.Permit].MayStop > 0
+		return s != nil && len(s.Servers) == 3 && s.State.Permits[permit] != nil && s.State.Permits[permit].MayStop > 0
 	}
 	require.Eventually(t, has, 10*time.Second, 20*time.Millisecond)
 	assert.Less(t, time.Since(back), 5*time.Second)
@@ -114,21 +125,14 @@
 	}
 	one, err := f.fleet.Client.StatusOf("n0")
 	require.NoError(t, err)
-	assert.NotNil(t, one.State.Permits[r.Permit], "a keeper whose disk was lost has it from the others")
+	assert.NotNil(t, one.State.Permits[permit], "a keeper whose disk was lost has it from the others")
 	assert.True(t, errors.As(f.fleet.Client.Init(), new(*fleet.RefusedError)), "no second fleet is begun")
 }
 
 // The disk of a keeper is full while another one is killed, so that it would have to vote; then a sync fails; then two. Its front end
 // serves on through all of it. Without the mends the full disk ended the process: the library panics on a term that it can't write.
 func TestDisksOfKeepersFail(t *testing.T) {
-	ctx, cancel := context.WithTimeout(context.Background(), 90*time.Second)
-	defer cancel()
-	f, end, err := open(ctx, Options{Program: program, Seed: 6, Seconds: 2, Rate: 60, Engines: 4, Fronts: 6, Faults: "none"})
-	require.NoError(t, err)
-	defer end()
-	r, err := f.apply(ctx, rollout.Command{Drain: &rollout.Holder{Name: "e1", Engine: true}})
-	require.NoError(t, err)
-	require.Nil(t, r.Refusal)
+	ctx, f, permit := drainedFleet(t, 6)
 	n0 := f.fleet.Members[0]
 	leader := func() string {
 		if s := f.state(); s != nil && len(s.Servers) == 3 {
@@ -148,7 +152,7 @@
 	}
 	has := func() bool {
 		s, err := f.fleet.Client.StatusOf("n0")
-		return err == nil && s.State.Permits[r.Permit] != nil && leader() != ""
+		return err == nil && s.State.Permits[permit] != nil && leader() != ""
 	}
 	require.Eventually(t, has, 10*time.Second, 20*time.Millisecond)
 	was := identity("n0")
@@ -162,7 +166,7 @@
 		}
 	}
 	require.Eventually(t, func() bool { at := leader(); return at != "" && at != "n0" }, 15*time.Second, 20*time.Millisecond, "the others agree")
-	_, err = f.apply(ctx, rollout.Command{Undrain: &rollout.Holder{Name: "e3", Engine: true}}) // something to write
+	_, err := f.apply(ctx, rollout.Command{Undrain: &rollout.Holder{Name: "e3", Engine: true}}) // something to write
 	require.NoError(t, err)
 	require.Eventually(t, func() bool { _, err := f.fleet.Client.StatusOf("n0"); return err != nil }, 15*time.Second, 20*time.Millisecond, "it keeps the log no more")
 	require.NoError(t, n0.FailDisk(""))
@@ -185,15 +189,7 @@
 	}
 	_, _ = f.fleet.Client.Apply(rollout.Command{ID: "lost", By: "a test", Tick: &struct{}{}})
 	require.Eventually(t, func() bool { return f.state() == nil }, 15*time.Second, 20*time.Millisecond)
-	load := &Load{Rate: 60, Classes: Classes, Rand: rand.New(rand.NewPCG(1, 2)), Pick: f.pick(), Lost: f.lost}
-	requests := load.Run(ctx, 3*time.Second)
-	served := 0
-	for _, q := range requests {
-		if q.Outcome == Served {
-			served++
-		}
-	}
-	assert.Greater(t, served, len(requests)*95/100, "of %d requests", len(requests))
+	assertServes(t, ctx, f)
 	for i, m := range f.fleet.Members[:2] {
 		require.NoError(t, m.FailDisk(""))
 		text, err := os.ReadFile(filepath.Join(m.Disk(), "identity"))
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -81,7 +81,12 @@
 		"past the aim that its work has": {1500 * time.Millisecond, 400 * time.Millisecond, 1},
 	} {
 		t.Run(name, func(t *testing.T) {
-			p, _, c := newPlanner(func([]admission.Event) []admission.Action { return []admission.Action{admission.Send{ID: "a"}} })
+			p, _, c := newPlanner(func(ev []admission.Event) []admission.Action {
+				if _, ok := ev[0].(admission.Request); ok {
+					return []admission.Action{admission.Send{ID: "a"}}
+				}
+				return nil
+			})
 			p.classes = []admission.Class{{Aim: time.Second, AimStretch: 2, Threads: 2}}
 			x := exchange.New(exchange.Request{ID: "a", Left: time.Hour}, time.Now().Add(-k.waited))
 			p.step([]input{{kind: taken, x: x}})
