Let the drill's kill and term be one, and the passage tests deliver words in one place

Need, on reading the change once more: the faults kill and term differed in their signal and name only (noted twice), and four tests of the passage each had the loop that delivers all words.

Change: field.strike and crossing.deliver.

--- a/decision/ledger/passage_test.go
+++ b/decision/ledger/passage_test.go
@@ -124,17 +124,22 @@
 	})
 }
 
+// deliver lets all words on their way arrive, in order, and those that they lead to.
+func (c *crossing) deliver() {
+	for len(c.words) > 0 {
+		w := c.words[0]
+		c.words = c.words[1:]
+		w()
+	}
+}
+
 // flow delivers all words, and lets each passage step, until nothing more is said.
 func (c *crossing) flow(t require.TestingT, only ...int) {
 	for range 50 {
 		for _, i := range only {
 			c.say(c.list[i])
 		}
-		for len(c.words) > 0 {
-			w := c.words[0]
-			c.words = c.words[1:]
-			w()
-		}
+		c.deliver()
 		for _, i := range only {
 			c.step(t, i)
 		}
@@ -147,11 +152,7 @@
 	p := c.list[0]
 	for !p.owner.Cleared() {
 		c.say(p)
-		for len(c.words) > 0 {
-			w := c.words[0]
-			c.words = c.words[1:]
-			w()
-		}
+		c.deliver()
 		if p.owner.stand == Holding && !p.owner.Cleared() {
 			p.Step(c.now)
 		}
@@ -171,11 +172,7 @@
 			c.say(p)
 			p.Step(c.now)
 		}
-		for len(c.words) > 0 {
-			w := c.words[0]
-			c.words = c.words[1:]
-			w()
-		}
+		c.deliver()
 	}
 }
 
@@ -185,11 +182,7 @@
 	p := c.list[0]
 	for p.owner.stand != Writing {
 		c.say(p)
-		for len(c.words) > 0 {
-			w := c.words[0]
-			c.words = c.words[1:]
-			w()
-		}
+		c.deliver()
 		p.Step(c.now)
 	}
 	c.say(p) // on its way for longer than the wait
--- a/internal/drill/rollout.go
+++ b/internal/drill/rollout.go
@@ -90,14 +90,7 @@
 }
 
 var fleetFaults = []fleetFault{
-	{"kill", func(ctx context.Context, f *field, rng *rand.Rand) {
-		if m := f.take(rng, false); m != nil {
-			defer f.give(m)
-			f.opt.note("kill %s", m.Name)
-			m.Signal(syscall.SIGKILL)
-			f.back(ctx, m)
-		}
-	}},
+	{"kill", func(ctx context.Context, f *field, rng *rand.Rand) { f.strike(ctx, rng, "kill", syscall.SIGKILL) }},
 	{"stop", func(ctx context.Context, f *field, rng *rand.Rand) {
 		if m := f.take(rng, false); m != nil {
 			defer f.give(m)
@@ -108,14 +101,7 @@
 			f.back(ctx, m)
 		}
 	}},
-	{"term", func(ctx context.Context, f *field, rng *rand.Rand) {
-		if m := f.take(rng, false); m != nil {
-			defer f.give(m)
-			f.opt.note("term %s", m.Name)
-			m.Signal(syscall.SIGTERM)
-			f.back(ctx, m)
-		}
-	}},
+	{"term", func(ctx context.Context, f *field, rng *rand.Rand) { f.strike(ctx, rng, "term", syscall.SIGTERM) }},
 	{"room", func(ctx context.Context, f *field, rng *rand.Rand) {
 		room := rolloutRooms[rng.IntN(len(rolloutRooms))]
 		f.opt.note("cut %s off", room)
@@ -229,6 +215,16 @@
 	f.mu.Unlock()
 }
 
+// strike signals a member, which its service manager starts again.
+func (f *field) strike(ctx context.Context, rng *rand.Rand, name string, sig syscall.Signal) {
+	if m := f.take(rng, false); m != nil {
+		defer f.give(m)
+		f.opt.note("%s %s", name, m.Name)
+		m.Signal(sig)
+		f.back(ctx, m)
+	}
+}
+
 // failDisk lets a keeper's disk fail for a while. Its process goes on, and it is among the keepers again soon after.
 func (f *field) failDisk(ctx context.Context, rng *rand.Rand, how string) {
 	m := f.take(rng, true)
