--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 export GOFLAGS = -buildvcs=false
 
-.PHONY: demo build test check lint fuzz run drill drill-seeds cheap cheap-record
+.PHONY: demo build test check lint fuzz run drill drill-seeds cheap cheap-record sites
 
 # A front end with stand-in engines and a stand-in Consul on loopback, until Ctrl-C.
 demo: build
@@ -55,3 +55,8 @@
 # make run CONFIG=path/to/config.json
 run: build
 	PROXY_CONFIG=$(CONFIG) bin/beechcart
+
+# Lays what the bench reads beside a site file next to the variants of deploy/sites; git ignores it.
+GIVEN ?= ../given
+sites:
+	install -m 644 $(GIVEN)/kit/sites/real.json $(GIVEN)/kit/sites/wire.json $(GIVEN)/kit/sites/unlock.txt deploy/sites/
