Take nothing from a session once it is dropped, and let the timer give the last answer

Change: hold() is the one place where a session's request is taken, and it takes none of a session that is not listed; all who end a session drop it first, under the same lock. The session of least use is one with nothing in hand and nothing unread, in the buffer or in the machine. KILL marks a session whose packet is on its way. Planner.expire settles in the timer's own goroutine; the input kind 'deadline' goes. A counter 'left' tells clients that left open requests.

TestStopAnswersAllInTime read an answer after Settled where the contract says Done; it waits for Done now, its assertions stand.

Ruled out by test: requests that a client sent one behind the other before it went are not taken one by one (the write of the first answer fails and ends the session).

--- a/internal/mysql/server.go
+++ b/internal/mysql/server.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/cloudwego/netpoll"
+	"golang.org/x/sys/unix"
 
 	"beechcart/internal/copies"
 	"beechcart/internal/exchange"
@@ -84,9 +85,11 @@
 
 	// Guarded by the server's lock.
 	open       *exchange.Exchange // the request in hand
+	reads      bool               // a packet is in hand
+	killed     bool               // KILL QUERY has overtaken the query that it is meant for
 	phase      phase
 	since      time.Time // when that phase began; of a session without a command: when it connected
-	listed     bool
+	listed     bool      // its requests are taken: whoever ends the session drops it first
 	prev, next *session
 }
 
@@ -239,6 +242,10 @@
 		return false
 	}
 	s.opt.Counters.Add("kills", 1)
+	s.mu.Lock()
+	// Guards against a KILL that overtakes its query on the way through here: nobody would wait for what it starts.
+	ses.killed = ses.open == nil && (ses.reads || ses.unread())
+	s.mu.Unlock()
 	ses.abandon()
 	return true
 }
@@ -257,19 +264,48 @@
 func (s *session) enter(p phase) {
 	s.srv.mu.Lock()
 	defer s.srv.mu.Unlock()
+	if s.reads = p == reading; p == idle {
+		s.killed = false // what came was no query
+	}
 	if s.phase == greeted && (p == reading || (p == idle && !s.asked)) {
 		return
 	}
 	s.srv.sessions.move(s, p, time.Now())
 }
 
-// hold sets the request in hand; nil when there is none.
-func (s *session) hold(x *exchange.Exchange) {
+// hold makes a request the one in hand; ok tells that the session stands and it is to be served. Guards against requests of
+// clients that have gone, and of sessions that have just been chosen to make room: both are dropped first, under the same lock,
+// and then nothing is taken from them any more, however much they have sent.
+func (s *session) hold(x *exchange.Exchange) (ok, killed bool) {
 	s.srv.mu.Lock()
-	s.open = x
+	defer s.srv.mu.Unlock()
+	killed, s.killed = s.killed, false
+	if s.listed && !killed {
+		s.open = x
+	}
+	return s.listed, killed
+}
+
+// release tells that the request in hand has its answer.
+func (s *session) release() {
+	s.srv.mu.Lock()
+	s.open = nil
 	s.srv.mu.Unlock()
 }
 
+// unread tells that the session has sent what nobody has looked at yet.
+func (s *session) unread() bool {
+	if s.conn.Reader().Len() > 0 {
+		return true
+	}
+	c, ok := s.conn.(netpoll.Conn)
+	if !ok {
+		return false
+	}
+	n, err := unix.IoctlGetInt(c.Fd(), unix.TIOCINQ)
+	return err == nil && n > 0
+}
+
 func (s *session) write(b []byte) error {
 	if len(b) < directWrite {
 		copies.Add(copies.Output, len(b)) // netpoll copies what is small, and links what is large
@@ -393,13 +429,16 @@
 	}
 	x := exchange.New(req, arrived)
 	s.enter(serving)
-	s.hold(x)
-	s.srv.taker.Take(x)
-	if !s.conn.IsActive() { // it closed before the request was in hand
-		s.srv.taker.Leave(x)
+	switch ok, killed := s.hold(x); {
+	case !ok:
+		s.srv.opt.Counters.Add("left_unread", 1)
+		return false
+	case killed:
+		return s.answer(exchange.Answer{Kind: exchange.Left})
 	}
+	s.srv.taker.Take(x)
 	<-x.Done()
-	s.hold(nil)
+	s.release()
 	return s.answer(x.Answer())
 }
 
--- a/internal/mysql/sessions.go
+++ b/internal/mysql/sessions.go
@@ -13,6 +13,16 @@
 // sessionList is a list through the sessions themselves.
 type sessionList struct{ head, tail *session }
 
+// first is the first session that has nothing in hand and nothing unread.
+func (l *sessionList) first() *session {
+	for s := l.head; s != nil; s = s.next {
+		if !s.reads && !s.unread() {
+			return s
+		}
+	}
+	return nil
+}
+
 func (l *sessionList) push(s *session) {
 	if s.prev, s.next = l.tail, nil; l.tail != nil {
 		l.tail.next = s
@@ -63,16 +73,17 @@
 
 // leastUsed is the session that may be closed for a new one; nil when all are at work. Those whose last error has been
 // written and silent ones go first, then those idle for longest: a client whose next request crosses the close sends it
-// again. One that has just come is about to ask, and its request would be lost to it, so it goes last.
+// again. One that has just come is about to ask, and its request would be lost to it, so it goes last. One that has sent what nobody
+// has read yet is at work: a request that has lain there for longer than a close may cross would be lost.
 func (t *sessions) leastUsed(now time.Time) *session {
 	if s := t.lists[closing].head; s != nil {
 		return s
 	}
-	silent := t.lists[greeted].head
+	silent := t.lists[greeted].first()
 	if silent != nil && now.Sub(silent.since) >= silentAfter {
 		return silent
 	}
-	if s := t.lists[idle].head; s != nil {
+	if s := t.lists[idle].first(); s != nil {
 		return s
 	}
 	return silent
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -37,8 +37,7 @@
 const (
 	told     kind = iota // an event for the controller as it is
 	taken                // a request
-	left                 // its client has gone
-	deadline             // its client is about to
+	left                 // it was answered while it was open: its client has gone, or its time is over
 	ended                // an attempt has
 	listed               // the engine list has changed
 	stopping             // the front end stops
@@ -109,9 +108,19 @@
 // Take accepts a request; its exchange brings the final answer.
 func (p *Planner) Take(x *exchange.Exchange) { p.post(input{kind: taken, x: x}) }
 
+// expire answers a request whose client is about to stop waiting. It is the timer's own: guards against an answer that waits for
+// a step that takes long.
+func (p *Planner) expire(x *exchange.Exchange) {
+	if x.Settle(exchange.Answer{Kind: exchange.Failed, Reason: "the time given has run out"}) {
+		p.counters.Add("deadline", 1)
+		p.post(input{kind: left, x: x})
+	}
+}
+
 // Leave tells that the client of a request has gone.
 func (p *Planner) Leave(x *exchange.Exchange) {
 	if x.Settle(exchange.Answer{Kind: exchange.Left}) {
+		p.counters.Add("left", 1)
 		p.post(input{kind: left, x: x})
 	}
 }
@@ -187,12 +196,6 @@
 		return p.take(in.x)
 	case left:
 		return p.gone(in.x)
-	case deadline:
-		if in.x.Settle(exchange.Answer{Kind: exchange.Failed, Reason: "the time given has run out"}) {
-			p.counters.Add("deadline", 1)
-			return p.gone(in.x)
-		}
-		return nil
 	case ended:
 		return p.end(in)
 	case stopping:
@@ -228,7 +231,7 @@
 	}
 	p.counters.Add("taken", 1)
 	e := &entry{x: x, terms: admission.Terms{ID: x.ID, Priority: 1}}
-	e.timer = time.AfterFunc(wait, func() { p.post(input{kind: deadline, x: x}) })
+	e.timer = time.AfterFunc(wait, func() { p.expire(x) })
 	p.open[x.ID] = e
 	return admission.Request{
 		ID: x.ID, Class: x.Class, Tenant: x.Tenant, Left: wait, Work: x.Work, MemMB: x.MemMB, Group: x.Group,
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -229,5 +229,31 @@
 		p.mu.Unlock()
 		p.step(in)
 	}
+	<-early.Done() // the timer answers by itself: what is settled may have its answer a moment later
 	assert.Equal(t, exchange.Failed, early.Answer().Kind)
 }
+
+// Guards against an answer that waits for a step that takes long: the time of the client runs on meanwhile.
+func TestTheDeadlineWaitsForNoStep(t *testing.T) {
+	inStep, goOn := make(chan struct{}), make(chan struct{})
+	p, e, _ := newPlanner(func(ev []admission.Event) []admission.Action {
+		if len(ev) == 0 {
+			return nil
+		}
+		close(inStep)
+		<-goOn
+		return []admission.Action{admission.Send{ID: "a"}}
+	})
+	x := request(50 * time.Millisecond)
+	over := make(chan struct{})
+	go func() {
+		defer close(over)
+		p.step([]input{{kind: taken, x: x}})
+	}()
+	<-inStep
+	<-x.Done()
+	assert.Equal(t, exchange.Failed, x.Answer().Kind)
+	close(goOn)
+	<-over
+	assert.Equal(t, 1, e.started, "the server side sees that nobody waits, and sends nothing")
+}
