--- a/cmd/beechcart/helper_test.go
+++ b/cmd/beechcart/helper_test.go
@@ -20,7 +20,9 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
+	"beechcart/internal/door"
 	"beechcart/internal/testprogram"
 )
 
@@ -54,7 +56,12 @@
 	mu     sync.Mutex
 	events []string
 	polls  int
-	cut    int // so many polls of the change log are cut off
+	cut    int                                          // so many polls of the change log are cut off
+	held   int                                          // polls that wait for news
+	deaf   int                                          // the polls up to this one hear nothing of the news
+	spoil  func(w http.ResponseWriter, q *http.Request) // what they get in its place
+
+	door *door.Client
 }
 
 type lockedBuffer struct {
@@ -142,6 +149,13 @@
 	r.cmd = exec.Command(program)
 	r.cmd.Env = append(os.Environ(), "PROXY_CONFIG="+r.path, "PROXY_LISTEN="+r.addr, "BEECHCART_SETTINGS="+r.settings)
 	r.cmd.Stdout, r.cmd.Stderr = r.log, r.log
+	pair, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	require.NoError(r.t, err)
+	theirs := os.NewFile(uintptr(pair[1]), "door")
+	defer theirs.Close()
+	r.door = door.NewClient(os.NewFile(uintptr(pair[0]), "door"))
+	r.t.Cleanup(r.door.Close)
+	r.cmd.ExtraFiles, r.cmd.Env = []*os.File{theirs}, append(r.cmd.Env, door.Env+"=3")
 	require.NoError(r.t, r.cmd.Start())
 	go func() { r.exit <- r.cmd.Wait() }()
 }
@@ -150,6 +164,10 @@
 func (r *rig) tell(entries ...string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.append(entries...)
+}
+
+func (r *rig) append(entries ...string) {
 	r.events = append(r.events, fmt.Sprintf(`{"seq":%d,"fleet":{"index":1,"snapshot":false,"endpoints":[%s]}}`,
 		len(r.events)+1, strings.Join(entries, ",")))
 }
@@ -157,25 +175,73 @@
 func (r *rig) changes(w http.ResponseWriter, q *http.Request) {
 	since, _ := strconv.Atoi(q.URL.Query().Get("since"))
 	wait, _ := strconv.Atoi(q.URL.Query().Get("timeout"))
+	r.mu.Lock()
+	r.polls++
+	nth, held := r.polls, false
+	r.mu.Unlock()
 	for end := time.Now().Add(time.Duration(wait) * time.Millisecond); ; time.Sleep(2 * time.Millisecond) {
 		r.mu.Lock()
-		r.polls++
-		events, cut := r.events, r.cut > 0
+		events, cut, deaf, spoil := r.events, r.cut > 0, nth <= r.deaf, r.spoil
+		over := len(events) > since || time.Now().After(end) || q.Context().Err() != nil
+		switch wasHeld := held; {
+		case cut || deaf || over:
+			held = false
+			if wasHeld {
+				r.held--
+			}
+		case !held:
+			held = true
+			r.held++
+		}
 		if cut {
 			r.cut--
 		}
 		r.mu.Unlock()
-		if cut {
+		switch {
+		case deaf:
+			spoil(w, q)
+			return
+		case cut:
 			reset(w)
 			return
-		}
-		if len(events) > since || time.Now().After(end) || q.Context().Err() != nil {
+		case over:
 			fmt.Fprintf(w, `{"seq":%d,"results":[%s]}`, len(events), strings.Join(events[min(since, len(events)):], ","))
 			return
 		}
 	}
 }
 
+// tellDeaf adds an event while a poll waits for news, and lets that poll, and all before it, get something else in its place.
+// It returns when the event stood in the change log.
+func (r *rig) tellDeaf(spoil func(w http.ResponseWriter, q *http.Request), entries ...string) time.Time {
+	require.Eventually(r.t, func() bool {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if r.held != 1 {
+			return false
+		}
+		r.deaf, r.spoil = r.polls, spoil
+		r.append(entries...)
+		return true
+	}, 10*time.Second, time.Millisecond)
+	return time.Now()
+}
+
+// counts waits until a counter of the program has come to n.
+func (r *rig) counts(name string, n int64) {
+	end := time.Now().Add(15 * time.Second)
+	for r.counter(name) < n {
+		require.True(r.t, time.Now().Before(end), "%s is %d", name, r.counter(name))
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func (r *rig) counter(name string) int64 {
+	f, err := r.door.Ask()
+	require.NoError(r.t, err)
+	return f.Counters[name]
+}
+
 // says waits until the program has logged the text.
 func (r *rig) says(text string) {
 	require.Eventually(r.t, func() bool { return strings.Contains(r.log.String(), text) },
--- /dev/null
+++ b/cmd/beechcart/leaving_test.go
@@ -0,0 +1,297 @@
+package main_test
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"net/http/httptest"
+)
+
+// noProbes are settings in which engines hear of nothing but queries, and connections may take long to come up.
+func noProbes(cancel bool) string {
+	return strings.NewReplacer(`"probes":true`, `"probes":false`, `"via":"pull"`, `"via":"silent"`,
+		`"connect_timeout":250000000`, `"connect_timeout":8000000000`,
+		`"cancel":true`, fmt.Sprintf(`"cancel":%t`, cancel)).Replace(facts)
+}
+
+// leavings are the ways in which a client stops waiting.
+var leavings = map[string]func(r *rig, c *client){
+	"kill": func(r *rig, c *client) {
+		k := r.dial()
+		k.send(0, fmt.Sprintf("\x03KILL QUERY %d", c.id))
+		assert.Zero(r.t, k.read().code)
+		assert.Equal(r.t, 1317, c.read().code)
+	},
+	"close": func(r *rig, c *client) { assert.NoError(r.t, c.c.Close()) },
+	"reset": func(r *rig, c *client) {
+		assert.NoError(r.t, c.c.(*net.TCPConn).SetLinger(0))
+		assert.NoError(r.t, c.c.Close())
+	},
+	"half-close": func(r *rig, c *client) {
+		assert.NoError(r.t, c.c.(*net.TCPConn).CloseWrite())
+		_, err := io.Copy(io.Discard, c.r)
+		assert.NoError(r.t, err, "the session is over: it ends without an answer")
+	},
+}
+
+// everyLeaving plays a case for each way of leaving, with and without leave to cancel.
+func everyLeaving(t *testing.T, play func(t *testing.T, facts string, leave func(r *rig, c *client))) {
+	for name, leave := range leavings {
+		for _, cancel := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s, cancel %t", name, cancel), func(t *testing.T) {
+				t.Parallel()
+				play(t, noProbes(cancel), func(r *rig, c *client) {
+					leave(r, c)
+					r.counts("left", 1)
+				})
+			})
+		}
+	}
+}
+
+// control has a request served by a further engine: whatever waited for one ahead of it would have gone there first.
+func control(t *testing.T, r *rig) {
+	e := newEngine(t, nil)
+	r.tell(e.entry("ready", 0))
+	a := r.dial().query("load", 20000)
+	assert.Zero(t, a.code, a.text)
+	assert.Equal(t, 1, e.count("POST"), "the request of the client that had left was sent on")
+}
+
+func TestAClientThatLeftAQueueIsNotSentOn(t *testing.T) {
+	everyLeaving(t, func(t *testing.T, facts string, leave func(r *rig, c *client)) {
+		e := newEngine(t, nil)
+		r := startAs(t, facts, e)
+		r.tell(e.entry("draining", 0))
+		r.says("state=draining")
+		c := r.dial()
+		c.send(0, statement("load", 20000))
+		r.counts("taken", 1)
+		leave(r, c)
+		control(t, r)
+		assert.Zero(t, e.count("POST"))
+	})
+}
+
+func TestAClientThatLeftBetweenTwoAttemptsIsNotSentOn(t *testing.T) {
+	everyLeaving(t, func(t *testing.T, facts string, leave func(r *rig, c *client)) {
+		full := make(chan struct{})
+		e := newEngine(t, func(call string, w http.ResponseWriter, _ *http.Request) bool {
+			if call == "POST" {
+				<-full
+				w.Header().Set("X-Unrun", "1")
+				w.WriteHeader(503)
+			}
+			return call == "POST"
+		})
+		r := startAs(t, facts, e)
+		c := r.dial()
+		c.send(0, statement("load", 20000))
+		e.waitFor(t, "POST", 1)
+		r.tell(e.entry("draining", 0)) // so that nothing can go out once the attempt has ended
+		r.says("state=draining")
+		close(full)
+		r.counts("ended_full", 1)
+		leave(r, c)
+		control(t, r)
+		assert.Equal(t, 1, e.count("POST"))
+	})
+}
+
+// The attempt is lost, and called over only 2 s after anything could have asked for it: its client leaves in that pause.
+func TestAClientThatLeftInAPauseIsNotSentOn(t *testing.T) {
+	everyLeaving(t, func(t *testing.T, facts string, leave func(r *rig, c *client)) {
+		var first atomic.Pointer[engine]
+		left := make(chan struct{})
+		var engines [2]*engine
+		for i := range engines {
+			var e *engine
+			e = newEngine(t, func(call string, w http.ResponseWriter, _ *http.Request) bool {
+				if !first.CompareAndSwap(nil, e) && first.Load() != e {
+					return false
+				}
+				if call == "POST" {
+					<-left
+				}
+				reset(w)
+				return true
+			})
+			engines[i] = e
+		}
+		r := startAs(t, facts, engines[:]...)
+		c := r.dial()
+		c.send(0, statement("lookup", 20000))
+		require.Eventually(t, func() bool { return first.Load() != nil }, 10*time.Second, time.Millisecond)
+		leave(r, c)
+		close(left)
+		for end := time.Now().Add(15 * time.Second); r.counter("ended_reset")+r.counter("ended_cancelled")+r.counter("ended_timeout") < 1; {
+			require.True(t, time.Now().Before(end), "the attempt does not end")
+			time.Sleep(5 * time.Millisecond)
+		}
+		r.tell(engines[0].entry("draining", 0), engines[1].entry("draining", 0))
+		require.Eventually(t, func() bool { return strings.Count(r.log.String(), "state=draining") == 2 }, 10*time.Second, time.Millisecond)
+		control(t, r)
+		assert.Equal(t, 1, engines[0].count("POST")+engines[1].count("POST"))
+	})
+}
+
+// lateEngine is an engine whose machine takes no connection before open is called. coming tells that one is on its way.
+func lateEngine(t *testing.T) (e *engine, coming func() bool, open func()) {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	require.NoError(t, err)
+	require.NoError(t, syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	require.NoError(t, syscall.Listen(fd, 0))
+	f := os.NewFile(uintptr(fd), "late")
+	l, err := net.FileListener(f)
+	require.NoError(t, err)
+	f.Close()
+	// The queue of such a listener holds a connection or two, and what comes next is not heard until they are taken from it.
+	for {
+		c, err := net.DialTimeout("tcp", l.Addr().String(), 200*time.Millisecond)
+		if err != nil {
+			break
+		}
+		t.Cleanup(func() { c.Close() })
+	}
+	e = &engine{pages: []string{"a\tb\tc\n"}, peers: map[string]int{}}
+	e.Server = httptest.NewUnstartedServer(e)
+	require.NoError(t, e.Listener.Close())
+	e.Listener = l
+	e.URL = "http://" + l.Addr().String()
+	e.name = fmt.Sprintf("s-%08x", l.Addr().(*net.TCPAddr).Port)
+	t.Cleanup(func() { l.Close() })
+	remote := fmt.Sprintf(" 0100007F:%04X 02 ", l.Addr().(*net.TCPAddr).Port)
+	coming = func() bool {
+		list, err := os.ReadFile("/proc/net/tcp")
+		return err == nil && bytes.Contains(list, []byte(remote))
+	}
+	return e, coming, func() {
+		e.URL = "" // else it would not start
+		e.Start()
+		t.Cleanup(e.CloseClientConnections)
+	}
+}
+
+func TestAClientThatLeftWhileAConnectionComesUpIsNotSentOn(t *testing.T) {
+	everyLeaving(t, func(t *testing.T, facts string, leave func(r *rig, c *client)) {
+		e, coming, open := lateEngine(t)
+		r := startAs(t, facts, e)
+		c := r.dial()
+		c.send(0, statement("load", 20000))
+		require.Eventually(t, coming, 10*time.Second, time.Millisecond)
+		leave(r, c)
+		open()
+		r.counts("ended_moot", 1)
+		assert.Zero(t, e.count("POST"))
+		a := r.dial().query("lookup", 20000)
+		assert.Zero(t, a.code, a.text)
+		assert.Equal(t, 1, e.count("POST"), "the engine serves those who wait")
+	})
+}
+
+// A drain that comes while a connection comes up is obeyed as well.
+func TestADrainWhileAConnectionComesUpIsObeyed(t *testing.T) {
+	e, coming, open := lateEngine(t)
+	r := startAs(t, noProbes(true), e)
+	c := r.dial()
+	c.send(0, statement("load", 20000))
+	require.Eventually(t, coming, 10*time.Second, time.Millisecond)
+	r.tell(e.entry("draining", 0))
+	r.says("state=draining")
+	open()
+	r.counts("ended_moot", 1)
+	assert.Zero(t, e.count("POST"))
+	leavings["kill"](r, c)
+}
+
+// What a client has sent before it went is not taken once it is known to have gone.
+func TestWhatAClientSentBeforeItWentIsNotSentOn(t *testing.T) {
+	for _, leave := range []string{"close", "reset", "half-close"} {
+		t.Run(leave, func(t *testing.T) {
+			t.Parallel()
+			e := newEngine(t, slow)
+			r := start(t, e)
+			c := r.dial()
+			for range 5 {
+				c.send(0, statement("lookup", 20000))
+			}
+			e.waitFor(t, "POST", 1)
+			leavings[leave](r, c)
+			r.counts("ended_cancelled", 1)
+			assert.EqualValues(t, 1, r.counter("left"), "one was in hand")
+			assert.EqualValues(t, 1, r.counter("taken"))
+			assert.Equal(t, 1, e.count("POST"))
+		})
+	}
+}
+
+// half sends the first bytes of a query, and returns a function that sends the rest.
+func (c *client) half(query string) (rest func()) {
+	p := packet(0, query)
+	_, err := io.WriteString(c.c, p[:20])
+	require.NoError(c.t, err)
+	return func() {
+		_, err := io.WriteString(c.c, p[20:])
+		require.NoError(c.t, err)
+	}
+}
+
+func TestAKillThatOvertakesItsQueryEndsIt(t *testing.T) {
+	e := newEngine(t, nil)
+	r := start(t, e)
+	c, k := r.dial(), r.dial()
+	c.send(0, "\x0e")
+	require.Zero(t, c.read().code)
+	rest := c.half(statement("lookup", 2500))
+	k.send(0, fmt.Sprintf("\x03KILL QUERY %d", c.id))
+	require.Zero(t, k.read().code)
+	rest()
+	assert.Equal(t, 1317, c.read().code)
+	assert.Zero(t, e.count("POST"))
+	k.send(0, fmt.Sprintf("\x03KILL QUERY %d", c.id)) // too late for one that is answered, and meant for no later one
+	require.Zero(t, k.read().code)
+	assert.Zero(t, c.query("lookup", 2500).code)
+	assert.Equal(t, 1, e.count("POST"))
+}
+
+// A session that has begun to ask does not make room for a new one, however long it was silent before.
+func TestASessionThatHasBegunToAskMakesNoRoom(t *testing.T) {
+	e, release := heldEngine(t)
+	r := startWith(t, 50, e)
+	early := r.raw()
+	early.send(1, login)
+	early.greeted()
+	time.Sleep(1100 * time.Millisecond) // it has to be silent for so long
+	rest := early.half(statement("lookup", 20000))
+	others := make([]*client, 50*2/5-2) // with the session that start pinged on
+	for i := range others {
+		others[i] = r.dial()
+		others[i].send(0, statement("load", 20000))
+	}
+	r.counts("taken", int64(len(others)))
+	for range 3 { // one takes the place of the idle one, which asks in turn
+		c := r.raw()
+		if p, err := c.packet(); err == nil && p[0] != 0xff {
+			c.send(1, login)
+			require.Zero(t, c.read().code)
+			c.send(0, statement("load", 20000))
+			r.counts("taken", int64(len(others)+1))
+		}
+	}
+	rest()
+	r.counts("taken", int64(len(others)+2))
+	close(release)
+	assert.Zero(t, early.read().code)
+	assert.Positive(t, r.counter("sessions_refused"))
+}
--- a/cmd/beechcart/run.go
+++ b/cmd/beechcart/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -34,7 +35,8 @@
 
 const (
 	lameDuck    = 850 * time.Millisecond // new requests keep coming for up to 0.6 s after SIGTERM
-	stopSpare   = 150 * time.Millisecond // for the last answers to go out before the process is killed
+	stopSpare   = 150 * time.Millisecond // for the last answers to go out before the process is killed ...
+	leaveSpare  = 100 * time.Millisecond // ... of which sessions that take none have this
 	reportEvery = 30 * time.Second
 )
 
@@ -86,7 +88,7 @@
 		return err
 	}
 	fleet := engine.New(engine.Options{
-		ConnectTimeout: cfg.ConnectTimeout, Sockets: cfg.Sockets / 2, Counters: counters,
+		ConnectTimeout: cfg.ConnectTimeout, DrainGrace: cfg.Admission.DrainGrace, Sockets: cfg.Sockets / 2, Counters: counters,
 		Classes: cfg.Admission.Classes, Deletes: cfg.Admission.MayCancel, Reuse: trust,
 	}, plan)
 	front, err := mysql.New(mysql.Options{
@@ -151,9 +153,15 @@
 		}
 	}
 	member.Leaves()
-	plan.Stop(stopWithin(cfg.Admission.Classes))
-	time.Sleep(lameDuck)
-	if err := front.Shutdown(ctx); err != nil {
+	within := stopWithin(cfg.Admission.Classes)
+	plan.Stop(within)
+	// Guards against sessions that hold the end up: half a packet, a client that reads nothing. Nothing is owed to them by then.
+	leave, done := context.WithTimeout(ctx, within+leaveSpare)
+	defer done()
+	time.Sleep(min(lameDuck, within+leaveSpare))
+	if err := front.Shutdown(leave); errors.Is(err, context.DeadlineExceeded) {
+		log.Warn("sessions left", "after", within+leaveSpare)
+	} else if err != nil {
 		return err
 	}
 	member.Gone()
--- /dev/null
+++ b/cmd/beechcart/stopping_test.go
@@ -0,0 +1,77 @@
+package main_test
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// Further signals change nothing in a stop: what is open is answered, and the program ends well.
+func TestFurtherSignalsChangeNothingInAStop(t *testing.T) {
+	e, release := heldEngine(t)
+	r := start(t, e)
+	c := r.dial()
+	c.send(0, statement("load", 20000))
+	e.waitFor(t, "POST", 1)
+	for _, s := range []syscall.Signal{syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP, syscall.SIGHUP, syscall.SIGTERM} {
+		require.NoError(t, r.cmd.Process.Signal(s))
+		r.says("msg=stopping")
+	}
+	late := r.dial()
+	late.send(0, statement("load", 20000))
+	e.waitFor(t, "POST", 2)
+	close(release)
+	assert.Zero(t, c.read().code)
+	assert.Zero(t, late.read().code)
+	require.NoError(t, <-r.exit)
+	assert.Equal(t, 1, strings.Count(r.log.String(), "msg=stopping"))
+}
+
+// With deadlines of 300 ms the platform kills the process 1 s after SIGTERM: nobody may hold its end up, and all is answered before.
+func TestNobodyHoldsUpAnEndWithShortDeadlines(t *testing.T) {
+	short := strings.NewReplacer(`"deadline":25000000000`, `"deadline":300000000`, `"deadline":2500000000`, `"deadline":300000000`,
+		`"on_time":500000000`, `"on_time":100000000`, `"on_time":3000000000`, `"on_time":200000000`).Replace(facts)
+	age := time.Hour
+	for range 3 { // the least of three: a busy machine only adds to it
+		e := newEngine(t, slow)
+		r := startAs(t, short, e)
+		half, c := r.dial(), r.dial()
+		half.half(statement("load", 20000))
+		c.send(0, statement("load", 20000)) // waits for longer than its class does
+		e.waitFor(t, "POST", 1)
+		began := time.Now()
+		require.NoError(t, r.cmd.Process.Signal(syscall.SIGTERM))
+		assert.Equal(t, 1105, c.read().code)
+		r.says("msg=stopped") // the race detector's own end takes a second more
+		age = min(age, time.Since(began))
+		require.NoError(t, <-r.exit)
+	}
+	assert.Less(t, age, 300*time.Millisecond+700*time.Millisecond, "the platform kills it then")
+}
+
+// A stop while the program starts is a stop.
+func TestASignalBeforeTheFirstSessionEndsWell(t *testing.T) {
+	r := &rig{t: t, log: &lockedBuffer{}, exit: make(chan error, 1), facts: facts, addr: "127.0.0.1:0"}
+	feed := serve(t, r.changes)
+	r.tell()
+	r.run(fmt.Sprintf(`{"name":"n0","listen":%q,"changelog":%q,"settings":%s}`, r.addr, feed, r.facts))
+	require.Eventually(t, func() bool { // the program takes the signal itself from here on
+		status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", r.cmd.Process.Pid))
+		if err != nil {
+			return false
+		}
+		_, rest, _ := strings.Cut(string(status), "SigCgt:\t")
+		var caught uint64
+		_, err = fmt.Sscanf(rest, "%x", &caught)
+		return err == nil && caught&(1<<(syscall.SIGTERM-1)) != 0 && r.log.String() != ""
+	}, 10*time.Second, time.Millisecond)
+	require.NoError(t, r.cmd.Process.Signal(syscall.SIGTERM))
+	require.NoError(t, <-r.exit)
+	assert.Contains(t, r.log.String(), "msg=stopped")
+}
--- a/internal/engine/attempt.go
+++ b/internal/engine/attempt.go
@@ -73,7 +73,7 @@
 
 // run carries the attempt out and returns its end, and all rows when it was served.
 func (a *attempt) run() (admission.Status, []byte) {
-	if a.peer == nil {
+	if a.peer == nil || a.x.Settled() {
 		return admission.Moot, nil
 	}
 	defer a.handBack()
@@ -198,8 +198,9 @@
 		a.unproved = a.c
 	}
 	// Guards against late sends: the wait for a connection may have outlasted the word that the engine drains,
-	// the request, or the time left.
-	if a.stopped() || !a.peer.isReady() || time.Until(a.due) < time.Millisecond {
+	// the request, or the time left. Whether anyone still waits is the exchange's word alone: where nothing may be cancelled, nobody
+	// gives the attempt up as its client leaves.
+	if a.stopped() || a.x.Settled() || !a.peer.isReady() || time.Until(a.due) < time.Millisecond {
 		a.fleet.opt.Counters.Add("unsent", 1)
 		return admission.Moot
 	}
--- a/internal/engine/conn.go
+++ b/internal/engine/conn.go
@@ -61,18 +61,18 @@
 const mostDials = 4
 
 // dial opens a connection, each try within the time-out. One that is reset while it comes up says nothing of
-// the process behind it, and carried nothing: it is tried again at once.
-func (s *sockets) dial(addr string, timeout time.Duration, urgent bool) (*conn, error) {
+// the process behind it, and carried nothing: it is tried again at once. The end of ctx ends it.
+func (s *sockets) dial(ctx context.Context, addr string, timeout time.Duration, urgent bool) (*conn, error) {
 	if !s.take(urgent) {
 		return nil, errNoSocket
 	}
 	for dials := 1; ; dials++ {
-		c, err := connect(addr, timeout)
+		c, err := connect(ctx, addr, timeout)
 		if err == nil {
 			_ = c.SetWriteTimeout(time.Second)
 			return &conn{c: c, socks: s}, nil
 		}
-		if isTimeout(err) || isRefused(err) || dials == mostDials {
+		if isTimeout(err) || isRefused(err) || ctx.Err() != nil || dials == mostDials {
 			s.give()
 			return nil, err
 		}
@@ -81,12 +81,12 @@
 
 // connect opens a connection. Engines' addresses are numbers: they are not looked up, which would cost more than the
 // connection itself.
-func connect(addr string, timeout time.Duration) (netpoll.Connection, error) {
+func connect(ctx context.Context, addr string, timeout time.Duration) (netpoll.Connection, error) {
 	a, err := netip.ParseAddrPort(addr)
 	if err != nil {
 		return netpoll.DialConnection("tcp", addr, timeout)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	c, err := netpoll.DialTCP(ctx, "tcp", nil, &netpoll.TCPAddr{TCPAddr: net.TCPAddr{IP: a.Addr().AsSlice(), Port: int(a.Port()), Zone: a.Addr().Zone()}})
 	if err != nil {
--- a/internal/engine/fleet.go
+++ b/internal/engine/fleet.go
@@ -3,6 +3,7 @@
 package engine
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -24,7 +25,8 @@
 // Options are what the server side is built with.
 type Options struct {
 	ConnectTimeout time.Duration
-	Sockets        int // connections in all, the reserve included
+	DrainGrace     time.Duration // within which a drain has to be heard
+	Sockets        int           // connections in all, the reserve included
 	Classes        []admission.Class
 	Deletes        bool         // a query that nobody waits for may be deleted; else it is asked for no more
 	Reuse          *reuse.Trust // nil keeps no connection
@@ -170,7 +172,7 @@
 // dial opens a new connection to an engine. Where no socket is free, a connection that carries nothing makes room.
 func (f *Fleet) dial(addr string, urgent bool) (*conn, error) {
 	for {
-		c, err := f.socks.dial(addr, f.opt.ConnectTimeout, urgent)
+		c, err := f.socks.dial(context.Background(), addr, f.opt.ConnectTimeout, urgent)
 		if err != errNoSocket || !f.pool.evict() {
 			return c, err
 		}
