Close the listener last in a stop, so that a client that gives up then is heard

Cause: on SIGTERM the library's Shutdown closed the listener 0.85 s later, while requests stay open for up to 3.55 s. A client that stopped waiting then opened a session for its KILL QUERY and was refused (seen: connection refused), and its request stayed in the queue, to be sent on, until it closed its own session half a second later. The same Shutdown judged a session idle by its own buffers and closed it with a request unread in the machine.

Change: Server.Shutdown closes sessions on which nothing is open or on its way, dropped first, until none is left or the time is over, and then the listener.

Measured: TestAClientThatLeavesDuringAStopIsNotSentOn, with and without cancel, fails with the old Shutdown (connection refused, both) and passes; the other tests of stops pass with the race detector.

--- a/cmd/beechcart/stopping_test.go
+++ b/cmd/beechcart/stopping_test.go
@@ -55,6 +55,34 @@
 	assert.Less(t, age, 300*time.Millisecond+700*time.Millisecond, "the platform kills it then")
 }
 
+// A client that stops waiting during a stop is heard: what it waited for is sent nowhere.
+func TestAClientThatLeavesDuringAStopIsNotSentOn(t *testing.T) {
+	for _, cancel := range []bool{true, false} {
+		t.Run(fmt.Sprint("cancel ", cancel), func(t *testing.T) {
+			t.Parallel()
+			held, release := heldEngine(t)
+			r := startAs(t, noProbes(cancel), held)
+			busy, c, idle := r.dial(), r.dial(), r.dial()
+			busy.send(0, statement("load", 20000))
+			held.waitFor(t, "POST", 1)
+			r.tell(held.entry("draining", 0))
+			r.says("state=draining")
+			c.send(0, statement("load", 20000))
+			r.counts("taken", 2)
+			require.NoError(t, r.cmd.Process.Signal(syscall.SIGTERM))
+			assert.Equal(t, -1, idle.read().code, "idle sessions are closed from here on")
+			leavings["kill"](r, c)
+			e := newEngine(t, nil)
+			r.tell(e.entry("ready", 0))
+			r.says("engine=" + e.name)
+			close(release)
+			assert.Zero(t, busy.read().code)
+			require.NoError(t, <-r.exit)
+			assert.Zero(t, e.count("POST"))
+		})
+	}
+}
+
 // A stop while the program starts is a stop.
 func TestASignalBeforeTheFirstSessionEndsWell(t *testing.T) {
 	r := &rig{t: t, log: &lockedBuffer{}, exit: make(chan error, 1), facts: facts, addr: "127.0.0.1:0"}
--- a/internal/mysql/server.go
+++ b/internal/mysql/server.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
@@ -123,8 +124,39 @@
 	return s.loop.Serve(l)
 }
 
-// Shutdown closes the listener and then each session as soon as nothing is open on it.
-func (s *Server) Shutdown(ctx context.Context) error { return s.loop.Shutdown(ctx) }
+// Shutdown closes each session as soon as nothing is open on it, and then the listener. It ends with ctx, whatever is open then.
+// The listener goes last: a client that stops waiting says so on a session of its own.
+func (s *Server) Shutdown(ctx context.Context) error {
+	tick := time.NewTicker(sweepEvery)
+	defer tick.Stop()
+	for s.closeIdle() > 0 {
+		select {
+		case <-ctx.Done():
+			return errors.Join(ctx.Err(), s.loop.Shutdown(ctx))
+		case <-tick.C:
+		}
+	}
+	return s.loop.Shutdown(ctx)
+}
+
+// closeIdle closes sessions on which nothing is open or on its way, and tells how many are left.
+func (s *Server) closeIdle() int {
+	var out []*session
+	s.mu.Lock()
+	for _, ses := range s.sessions.byID {
+		fresh := ses.phase == greeted && time.Since(ses.since) < lastWait // it may be about to end another's query
+		if ses.open == nil && (ses.phase == idle || ses.phase == greeted) && !fresh && !ses.reads && !ses.unread() {
+			out = append(out, ses)
+			s.sessions.drop(ses)
+		}
+	}
+	left := len(s.sessions.byID)
+	s.mu.Unlock()
+	for _, ses := range out {
+		_ = ses.conn.Close()
+	}
+	return left
+}
 
 func (s *Server) connect(ctx context.Context, c netpoll.Connection) context.Context {
 	ses := &session{srv: s, conn: c, since: time.Now()}
