Name each bad setting with its value and what it may be, before anything listens

Need: settings of another customer. A limit of a wrong type was read as absent, a negative time as it stood; errors told neither value nor what is allowed ('value doesn't contain number'), and the module's named fields by its own words.

Change: internal/settings tells field, value and what it may be for wrong types, numbers under 0, fractions where a whole number belongs and durations that overflow; Config.Check holds sockets (16 at least), me, replicas, classes, names, deadlines and cold_from.

--- a/cmd/beechcart/main.go
+++ b/cmd/beechcart/main.go
@@ -61,6 +61,9 @@
 	if err != nil {
 		return nil, ops, err
 	}
+	if err := cfg.Check(); err != nil {
+		return nil, ops, fmt.Errorf("configuration %s: %w", f.config, err)
+	}
 	if ops.Source == operators.ChangeLog && cfg.ChangeLog == "" {
 		return nil, ops, fmt.Errorf("configuration %s: changelog: no address is given", f.config)
 	}
--- a/internal/settings/config.go
+++ b/internal/settings/config.go
@@ -59,14 +59,16 @@
 	if err != nil {
 		return nil, err
 	}
-	str := func(name string) string { return string(v.GetStringBytes(name)) }
+	top := newFacts(v)
 	c := &Config{
-		Name: str("name"), Listen: str("listen"), ChangeLog: str("changelog"),
-		Cores:    v.GetFloat64("limits", "cores"),
-		MemoryMB: v.GetInt("limits", "memory_mb"), Sockets: v.GetInt("limits", "sockets"),
+		Name: top.word("name"), Listen: top.word("listen"), ChangeLog: top.word("changelog"),
+		Cores: top.number("limits.cores"), MemoryMB: top.integer("limits.memory_mb"), Sockets: top.integer("limits.sockets"),
 		ConnectTimeout: 250 * time.Millisecond,
 	}
-	if seed := strings.TrimSpace(str("seed")); seed != "" {
+	if *top.err != nil {
+		return nil, *top.err
+	}
+	if seed := strings.TrimSpace(top.word("seed")); seed != "" {
 		if c.Seed, err = strconv.ParseUint(seed, 16, 64); err != nil {
 			return nil, fmt.Errorf("seed: %q is not a hex number", seed)
 		}
@@ -99,3 +101,38 @@
 	}
 	return c, *set.err
 }
+
+// leastSockets is what the listener, the change log, a few clients and a few engines take.
+const leastSockets = 16
+
+// Check holds what was read against what a front end can serve with.
+func (c *Config) Check() error {
+	a := &c.Admission
+	wrong := func(field string, value any, allowed string) error {
+		return fmt.Errorf("%s: %v is not allowed: it must be %s", field, value, allowed)
+	}
+	switch {
+	case c.Sockets < leastSockets:
+		return wrong("limits.sockets", c.Sockets, fmt.Sprintf("%d at least", leastSockets))
+	case a.Replicas < 1:
+		return wrong("settings.replicas_of_me", a.Replicas, "1 at least")
+	case a.Me >= a.Replicas:
+		return wrong("settings.me", a.Me, fmt.Sprintf("under settings.replicas_of_me, which is %d", a.Replicas))
+	case len(a.Classes) == 0:
+		return wrong("settings.services", "[]", "a list of one class at least")
+	case a.ColdFrom > 1:
+		return wrong("settings.rules.cold_from", a.ColdFrom, "from 0 to 1")
+	}
+	for i, cl := range a.Classes {
+		field := fmt.Sprintf("settings.services[%d]", i)
+		switch name := c.Names.classes[i]; {
+		case name == "":
+			return wrong(field+".name", `""`, "a name")
+		case c.Names.Classes[name] != i:
+			return wrong(field+".name", strconv.Quote(name), "no other class's name")
+		case cl.Deadline <= 0:
+			return wrong(field+".deadline", int64(cl.Deadline), "over 0")
+		}
+	}
+	return nil
+}
