Look at kept connections every 25 ms, so that an engine that never ends its answer fills nothing

Cause: a connection that has ended its query and is kept serves nobody, and the network library reads all that comes on it. The pool looked at what it keeps every 0.75 s. Seen in a test with a real connection: 92,092 KB read before it was closed, where the platform kills the process at 48 to 80 MB.

--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -17,8 +17,13 @@
 	trust *reuse.Trust
 	idle  map[*peer][]*kept // by engine, the one that came last at the end
 	armed bool              // a sweep is due
+	swept time.Time         // when all that is kept was last looked at
 }
 
+// lookEvery is how often kept connections are looked at for what they should not bring. Guards against an engine that never ends
+// what it sends: the network library reads all of it, whoever waits for it (92 MB in 0.75 s were seen).
+const lookEvery = 25 * time.Millisecond
+
 // kept is a connection that serves nobody at the time.
 type kept struct {
 	c      *conn
@@ -62,7 +67,7 @@
 func (p *pool) arm() {
 	if !p.armed {
 		p.armed = true
-		time.AfterFunc(p.trust.MaxIdle()/4, p.sweep)
+		time.AfterFunc(min(lookEvery, p.trust.MaxIdle()/4), p.sweep)
 	}
 }
 
@@ -168,14 +173,18 @@
 	return true
 }
 
-// sweep closes what may not serve any more.
+// sweep closes what has brought more than it should, and now and then all that may not serve any more.
 func (p *pool) sweep() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.armed = false
+	all := time.Since(p.swept) >= p.trust.MaxIdle()/4
+	if all {
+		p.swept = time.Now()
+	}
 	for of, list := range p.idle {
 		for i := len(list) - 1; i >= 0; i-- {
-			if p.judge(of, list[i], false) == reuse.Close {
+			if (all || !list[i].c.fresh()) && p.judge(of, list[i], false) == reuse.Close {
 				p.remove(of, i).close()
 			}
 		}
--- a/internal/engine/pool_test.go
+++ b/internal/engine/pool_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"io"
+	"net"
 	"testing"
 	"time"
 
@@ -229,3 +231,37 @@
 	f.Start(exchange.New(exchange.Request{ID: "9b1f03aa5c7e2d42", Statement: []byte("SELECT 1")}, time.Now()), 0, 7, admission.Terms{Priority: 1}, time.Second)
 	assert.Equal(t, admission.Moot, (<-s).Status, "and nothing starts")
 }
+
+// Whatever an engine sends on a connection that serves nobody is read by the library at once, so it is ended soon.
+func TestAKeptConnectionThatIsFloodedEnds(t *testing.T) {
+	begin, sent := make(chan struct{}), make(chan int, 1)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		_, _ = c.Read(make([]byte, 4<<10))
+		_, _ = io.WriteString(c, good)
+		<-begin
+		for n := 0; ; {
+			m, err := c.Write(make([]byte, 64<<10))
+			if n += m; err != nil || n > 1<<30 {
+				sent <- n
+				return
+			}
+		}
+	}()
+	f, s, _, _ := keeping(t, 100, nil)
+	f.Update(list(l.Addr().String(), admission.Ready))
+	query(t, f, s, 0)
+	require.Equal(t, 1, idle(f))
+	close(begin)
+	n := <-sent
+	t.Logf("%d KB were read of a connection that serves nobody", n>>10)
+	assert.Less(t, n, 32<<20, "a third of what the shortest memory limit leaves")
+	assert.Zero(t, idle(f))
+}
