Lose nothing that the machine holds as a stop or a bound comes; bound what a session sends

Change: a connection is listed as soon as it is accepted (accepted), so that what ends sessions knows of it; making room stays with connect, as netpoll's reading goroutine must close nothing (it would wait for itself: FDOperator.unused). Shutdown closes the listener after two looks in a row that find nobody waiting to be accepted and nothing at work, and drops all that is left first. overdue gives 0.25 s more to what has come and was not looked at.

Ruled out: a refusal lost to unread input (TestARefusalIsNotLost passes with and without a last wait, which was taken back).

All of cmd/beechcart, internal/mysql, planner pass.

--- a/cmd/beechcart/run.go
+++ b/cmd/beechcart/run.go
@@ -158,7 +158,7 @@
 	// Guards against sessions that hold the end up: half a packet, a client that reads nothing. Nothing is owed to them by then.
 	leave, done := context.WithTimeout(ctx, within+leaveSpare)
 	defer done()
-	time.Sleep(min(lameDuck, within+leaveSpare))
+	time.Sleep(min(lameDuck, within))
 	if err := front.Shutdown(leave); errors.Is(err, context.DeadlineExceeded) {
 		log.Warn("sessions left", "after", within+leaveSpare)
 	} else if err != nil {
--- /dev/null
+++ b/cmd/beechcart/standing_test.go
@@ -0,0 +1,205 @@
+package main_test
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// status is a field of what the machine tells of the process.
+func (r *rig) status(field string) string {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", r.cmd.Process.Pid))
+	require.NoError(r.t, err)
+	_, rest, _ := strings.Cut(string(text), field+":")
+	line, _, _ := strings.Cut(rest, "\n")
+	return strings.TrimSpace(line)
+}
+
+// standStill stops the process, as a machine that is short of time does; the function that it returns lets it go on.
+func (r *rig) standStill() (goOn func()) {
+	require.NoError(r.t, r.cmd.Process.Signal(syscall.SIGSTOP))
+	require.Eventually(r.t, func() bool { return strings.HasPrefix(r.status("State"), "T") }, 10*time.Second, time.Millisecond)
+	return func() { require.NoError(r.t, r.cmd.Process.Signal(syscall.SIGCONT)) }
+}
+
+const several = 40 // sessions at once, so that what is looked at first can't be all of them
+
+// The machine has taken these connections, or what was written to them; the program stood still, and finds the time of its stop over.
+func TestWhatTheMachineHoldsAtAStopIsAnswered(t *testing.T) {
+	t.Run("requests on open sessions", func(t *testing.T) {
+		heldAtAStop(t, func(r *rig) (send func(), answers func()) {
+			all := make([]*client, several)
+			for i := range all {
+				all[i] = r.dial()
+				all[i].send(0, "\x0e")
+				require.Zero(t, all[i].read().code)
+			}
+			return func() {
+					for _, c := range all {
+						c.send(0, statement("lookup", 2500))
+					}
+				}, func() {
+					for i, c := range all {
+						assert.Zero(t, c.read().code, "session %d", i)
+					}
+				}
+		})
+	})
+	t.Run("connections", func(t *testing.T) {
+		heldAtAStop(t, func(r *rig) (send func(), answers func()) {
+			all := make([]*client, 300)
+			return func() {
+					for i := range all {
+						all[i] = r.raw()
+						_, err := io.WriteString(all[i].c, packet(1, login)+packet(0, statement("lookup", 2500)))
+						require.NoError(t, err)
+					}
+				}, func() {
+					for i, c := range all {
+						c.greeted()
+						assert.Contains(t, []int{0, 1040}, c.read().code, "connection %d: so many at once may be refused", i)
+					}
+				}
+		})
+	})
+}
+
+// heldAtAStop sends while the program stands still in a stop, and lets it go on once the time of the stop is over.
+func heldAtAStop(t *testing.T, prepare func(r *rig) (send func(), answers func())) {
+	for {
+		r := start(t, newEngine(t, nil))
+		send, answers := prepare(r)
+		term := time.Now()
+		require.NoError(t, r.cmd.Process.Signal(syscall.SIGTERM))
+		r.says("msg=stopping")
+		goOn := r.standStill()
+		send()
+		if time.Since(term) > 700*time.Millisecond { // the machine is too busy: requests come for 0.6 s
+			goOn()
+			continue
+		}
+		time.Sleep(time.Until(term.Add(time.Second)))
+		goOn()
+		answers()
+		require.NoError(t, <-r.exit)
+		assert.Contains(t, r.log.String(), "msg=stopped")
+		return
+	}
+}
+
+// A request that has come before its session's time was over is answered, though the program looks at the time first.
+func TestARequestThatCameBeforeItsSessionEndsIsAnswered(t *testing.T) {
+	for name, k := range map[string]struct {
+		asked bool
+		lasts time.Duration
+	}{
+		"idle":       {true, 1500 * time.Millisecond},
+		"just there": {false, 2500 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for !cameBeforeTheEnd(t, k.asked, k.lasts) { // a machine too busy for the order
+			}
+		})
+	}
+}
+
+func cameBeforeTheEnd(t *testing.T, asked bool, lasts time.Duration) bool {
+	r := &rig{t: t, log: &lockedBuffer{}, exit: make(chan error, 1), settings: t.TempDir() + "/s.json"}
+	r.writeSettings(`{"schema":1,"clients":{"idle_ms":1500}}`)
+	r.start(1024, newEngine(t, nil))
+	began := time.Now()
+	all := make([]*client, several)
+	for i := range all {
+		all[i] = r.dial()
+		if asked {
+			all[i].send(0, "\x0e")
+			require.Zero(t, all[i].read().code)
+		}
+	}
+	last := time.Now()
+	time.Sleep(time.Until(began.Add(lasts - 200*time.Millisecond)))
+	goOn := r.standStill()
+	for _, c := range all {
+		c.send(0, statement("lookup", 2500))
+	}
+	inTime := time.Now().Before(began.Add(lasts - 20*time.Millisecond))
+	time.Sleep(time.Until(last.Add(lasts + 30*time.Millisecond)))
+	goOn()
+	if !inTime || time.Since(began) > lasts+150*time.Millisecond {
+		return false
+	}
+	for i, c := range all {
+		assert.Zero(t, c.read().code, "session %d", i)
+	}
+	return true
+}
+
+// A client that sends on and on, each packet as it should be, is closed before it fills the memory, whether or not it reads.
+func TestASessionThatSendsOnAndOnIsBounded(t *testing.T) {
+	for name, unit := range map[string]string{
+		"ping": packet(0, "\x0e"), "unknown command": packet(0, "\x1c"), "no query": packet(0, "\x03x"), "kill": packet(0, "\x03KILL QUERY 7"),
+	} {
+		for _, reads := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s, reads %t", name, reads), func(t *testing.T) {
+				most := 1 << 30
+				for range 3 { // the least of three: a busy machine only adds to it
+					r := start(t, newEngine(t, nil))
+					c := r.dial()
+					if reads {
+						go func() { _, _ = io.Copy(io.Discard, c.c) }()
+					}
+					before, chunk := r.peak(), []byte(strings.Repeat(unit, 64<<10/len(unit)))
+					for sent := 0; ; sent += len(chunk) {
+						require.Less(t, sent, 1<<30, "it is never closed")
+						if _, err := c.c.Write(chunk); err != nil {
+							break
+						}
+					}
+					r.counts("sessions_flooded", 1)
+					most = min(most, r.peak()-before)
+				}
+				t.Log("memory in KB", most)
+				assert.Less(t, most, 40<<10)
+			})
+		}
+	}
+}
+
+// peak is the most memory that the process has had, in KB.
+func (r *rig) peak() int {
+	n, err := strconv.Atoi(strings.TrimSuffix(r.status("VmHWM"), " kB"))
+	require.NoError(r.t, err)
+	return n
+}
+
+// A client that is refused has often sent its first request by then: the refusal is not lost to a reset.
+func TestARefusalIsNotLost(t *testing.T) {
+	e, release := heldEngine(t)
+	defer close(release)
+	r := startWith(t, 50, e)
+	for range 50 * 2 / 5 {
+		c := r.dial()
+		c.send(0, statement("load", 20000))
+	}
+	r.counts("taken", 50*2/5)
+	for range 5 {
+		goOn := r.standStill()
+		c := r.raw()
+		_, err := io.WriteString(c.c, packet(1, login)+packet(0, statement("lookup", 2500)+strings.Repeat(" ", 200<<10)))
+		require.NoError(t, err)
+		goOn()
+		assert.Equal(t, 1040, c.read().code)
+		_, err = c.packet()
+		assert.ErrorIs(t, err, io.EOF, "the connection was reset")
+	}
+	assert.EqualValues(t, 5, r.counter("sessions_refused"))
+}
--- a/internal/mysql/server.go
+++ b/internal/mysql/server.go
@@ -40,10 +40,12 @@
 const (
 	maxPacket   = 256 << 10
 	maxBehind   = 256 << 10               // bytes that may pile up behind an open request
+	mostInput   = maxPacket + maxBehind   // ... and in all, at any other time
 	firstWait   = 2500 * time.Millisecond // from the connect to the first command
 	silentAfter = time.Second             // a session that has asked nothing by then is hardly about to
 	packetWait  = 2500 * time.Millisecond // for the rest of a packet that has begun
 	idleWait    = 5 * time.Second         // clients close after 4 s; only a silent peer stays longer
+	crossWait   = 250 * time.Millisecond  // more, for what has come and was not looked at yet
 	writeWait   = 5 * time.Second
 	lastWait    = 500 * time.Millisecond // for the peer's close after a last error
 	lastBytes   = 1 << 20                // ... unless it sends so much before
@@ -72,7 +74,8 @@
 
 	mu       sync.Mutex
 	sessions sessions
-	told     time.Time // when malformed input was last logged
+	listener netpoll.Listener // nil before Serve
+	told     time.Time        // when malformed input was last logged
 }
 
 // session is one connection of a client.
@@ -102,8 +105,8 @@
 		opt.Idle = idleWait
 	}
 	s := &Server{opt: opt, taker: taker, sessions: sessions{byID: map[uint32]*session{}}}
-	loop, err := netpoll.NewEventLoop(s.request, netpoll.WithOnConnect(s.connect), netpoll.WithOnDisconnect(s.disconnect),
-		netpoll.WithReadTimeout(packetWait), netpoll.WithWriteTimeout(writeWait))
+	loop, err := netpoll.NewEventLoop(s.request, netpoll.WithOnPrepare(s.accepted), netpoll.WithOnConnect(s.connect),
+		netpoll.WithOnDisconnect(s.disconnect), netpoll.WithReadTimeout(packetWait), netpoll.WithWriteTimeout(writeWait))
 	if err != nil {
 		return nil, fmt.Errorf("mysql: %w", err)
 	}
@@ -117,6 +120,9 @@
 	if err != nil {
 		return fmt.Errorf("mysql: %w", err)
 	}
+	s.mu.Lock()
+	s.listener = l
+	s.mu.Unlock()
 	s.opt.Log.Info("listening", "address", l.Addr().String())
 	stop := make(chan struct{})
 	defer close(stop)
@@ -125,20 +131,48 @@
 }
 
 // Shutdown closes each session as soon as nothing is open on it, and then the listener. It ends with ctx, whatever is open then.
-// The listener goes last: a client that stops waiting says so on a session of its own.
+// The listener goes last, once nobody waits to be accepted: a client that stops waiting says so on a session of its own, and what
+// has been written to a connection that the machine holds for us counts as taken. Two looks in a row have to find nothing, as a
+// connection is on its way for a moment between the machine's queue and the list of sessions.
 func (s *Server) Shutdown(ctx context.Context) error {
 	tick := time.NewTicker(sweepEvery)
 	defer tick.Stop()
-	for s.closeIdle() > 0 {
+	for quiet := 0; quiet < 2; quiet++ {
+		if s.awaited() || s.closeIdle() > 0 {
+			quiet = -1
+		}
 		select {
 		case <-ctx.Done():
-			return errors.Join(ctx.Err(), s.loop.Shutdown(ctx))
+			return errors.Join(ctx.Err(), s.end(ctx))
 		case <-tick.C:
 		}
 	}
+	return s.end(ctx)
+}
+
+// end closes the listener and what is left of the sessions, of which nothing more is taken.
+func (s *Server) end(ctx context.Context) error {
+	s.mu.Lock()
+	for _, ses := range s.sessions.byID {
+		s.sessions.drop(ses)
+	}
+	s.mu.Unlock()
 	return s.loop.Shutdown(ctx)
 }
 
+// awaited tells that a connection waits to be accepted.
+func (s *Server) awaited() bool {
+	s.mu.Lock()
+	l := s.listener
+	s.mu.Unlock()
+	if l == nil {
+		return false
+	}
+	fds := []unix.PollFd{{Fd: int32(l.Fd()), Events: unix.POLLIN}}
+	n, err := unix.Poll(fds, 0)
+	return err == nil && n > 0 && fds[0].Revents&unix.POLLIN != 0
+}
+
 // closeIdle closes sessions on which nothing is open or on its way, and tells on how many there is. One that has just come stays: it
 // may be about to end another's query.
 func (s *Server) closeIdle() (busy int) {
@@ -160,44 +194,49 @@
 	return busy
 }
 
-func (s *Server) connect(ctx context.Context, c netpoll.Connection) context.Context {
+// accepted lists a connection as soon as the machine has handed it over. It runs on the goroutine that all connections are read by,
+// so it must end none: the library would wait there for itself.
+func (s *Server) accepted(c netpoll.Connection) context.Context {
 	ses := &session{srv: s, conn: c, since: time.Now()}
-	if !s.admit(ses) {
+	s.mu.Lock()
+	// The id lets anyone end the session's query, so it can't be guessed.
+	for ses.id == 0 || s.sessions.byID[ses.id] != nil {
+		ses.id = rand.Uint32()
+	}
+	s.sessions.add(ses)
+	s.mu.Unlock()
+	return context.WithValue(context.Background(), sessionKey{}, ses)
+}
+
+func (s *Server) connect(ctx context.Context, c netpoll.Connection) context.Context {
+	ses := ctx.Value(sessionKey{}).(*session)
+	switch out := s.admit(ses); {
+	case out == ses:
 		s.opt.Counters.Add("sessions_refused", 1)
-		seq := byte(0)
-		_ = ses.write(appendError(nil, &seq, codeRefused, "08004", "Too many connections"))
+		_ = ses.fail(codeRefused, "08004", "Too many connections")
 		_ = c.Close()
 		return ctx
+	case out != nil:
+		s.opt.Counters.Add("sessions_evicted", 1)
+		_ = out.conn.Close()
 	}
 	if ses.write(appendGreeting(nil, ses.id)) != nil {
 		_ = c.Close()
 	}
-	return context.WithValue(ctx, sessionKey{}, ses)
+	return ctx
 }
 
-// admit enters a session. Guards against silent peers that fill the bound: the one of least use makes room.
-func (s *Server) admit(ses *session) bool {
+// admit returns the session that has to end for this one to stay, itself where none may; nil when there is room. Guards against silent
+// peers that fill the bound: the one of least use makes room.
+func (s *Server) admit(ses *session) (out *session) {
 	s.mu.Lock()
-	var out *session
-	full := len(s.sessions.byID) >= s.opt.Sessions
-	if full {
-		if out = s.sessions.leastUsed(ses.since); out != nil {
-			s.sessions.drop(out)
-		}
-	}
-	if !full || out != nil {
-		// The id lets anyone end the session's query, so it can't be guessed.
-		for ses.id == 0 || s.sessions.byID[ses.id] != nil {
-			ses.id = rand.Uint32()
-		}
-		s.sessions.add(ses)
-	}
-	s.mu.Unlock()
-	if out != nil {
-		s.opt.Counters.Add("sessions_evicted", 1)
-		_ = out.conn.Close()
+	defer s.mu.Unlock()
+	if len(s.sessions.byID) <= s.opt.Sessions || !ses.listed {
+		return nil
 	}
-	return !full || out != nil
+	out = s.sessions.leastUsed(ses)
+	s.sessions.drop(out)
+	return out
 }
 
 // disconnect is called at once when the peer has closed, also while a request is in hand.
@@ -220,10 +259,7 @@
 	}
 	ses.enter(reading)
 	if !ses.packet() {
-		s.mu.Lock()
-		s.sessions.drop(ses)
-		s.mu.Unlock()
-		return c.Close()
+		return ses.end()
 	}
 	ses.enter(idle)
 	return nil
@@ -284,6 +320,14 @@
 	return true
 }
 
+// end closes the session; nothing more is taken from it.
+func (s *session) end() error {
+	s.srv.mu.Lock()
+	s.srv.sessions.drop(s)
+	s.srv.mu.Unlock()
+	return s.conn.Close()
+}
+
 // abandon lets the request in hand go: nobody waits for it.
 func (s *session) abandon() {
 	s.srv.mu.Lock()
@@ -359,6 +403,11 @@
 	}
 	size := int(head[0]) | int(head[1])<<8 | int(head[2])<<16
 	s.seq = head[3] + 1
+	// Guards against a client that sends on and on, each packet as it should be: the network library reads all of it.
+	if r.Len() > mostInput {
+		s.srv.opt.Counters.Add("sessions_flooded", 1)
+		return false
+	}
 	if size > maxPacket || size == 0 {
 		s.srv.malformed(s, fmt.Sprintf("packet of %d bytes", size))
 		return s.last(codeTooLarge, "08S01", "packet size is out of bounds")
--- a/internal/mysql/sessions.go
+++ b/internal/mysql/sessions.go
@@ -71,43 +71,56 @@
 	s.phase, s.since = p, now
 }
 
-// leastUsed is the session that may be closed for a new one; nil when all are at work. Those whose last error has been
+// leastUsed is the session that may be closed for a new one; that one itself when all others are at work. Those whose last error has been
 // written and silent ones go first, then those idle for longest: a client whose next request crosses the close sends it
 // again. One that has just come is about to ask, and its request would be lost to it, so it goes last. One that has sent what nobody
 // has read yet is at work: a request that has lain there for longer than a close may cross would be lost.
-func (t *sessions) leastUsed(now time.Time) *session {
+func (t *sessions) leastUsed(comer *session) *session {
 	if s := t.lists[closing].head; s != nil {
 		return s
 	}
 	silent := t.lists[greeted].first()
-	if silent != nil && now.Sub(silent.since) >= silentAfter {
+	if silent != nil && comer.since.Sub(silent.since) >= silentAfter {
 		return silent
 	}
 	if s := t.lists[idle].first(); s != nil {
 		return s
 	}
-	return silent
+	if silent != nil {
+		return silent
+	}
+	return comer
 }
 
-// overdue hands each session that is to be closed to out, with the reason. out may drop it.
+// overdue hands each session that is to be closed to out, with the reason, and drops it.
 func (t *sessions) overdue(now time.Time, idleFor time.Duration, out func(s *session, why string)) {
 	for _, l := range []struct {
 		at   phase
 		most time.Duration
 	}{{greeted, firstWait}, {reading, packetWait}, {idle, idleFor}} {
 		// Guards against a peer that was cut off, or never meant to ask: it would hold its descriptor for good.
-		for s := t.lists[l.at].head; s != nil && now.Sub(s.since) > l.most; s = t.lists[l.at].head {
-			out(s, "sessions_swept")
-			t.drop(s)
+		for s := t.lists[l.at].head; s != nil && now.Sub(s.since) > l.most; {
+			next := s.next
+			// Guards against losing what came before the close, and was not looked at as this process stood still.
+			if l.at == reading || now.Sub(s.since) > l.most+crossWait || !(s.reads || s.unread()) {
+				out(s, "sessions_swept")
+				t.drop(s)
+			}
+			s = next
 		}
 	}
-	for s := t.lists[serving].head; s != nil; {
-		next := s.next
-		// Guards against a peer that goes on sending while its request is open: netpoll reads all of it.
-		if s.conn.Reader().Len() > maxBehind {
-			out(s, "sessions_flooded")
-			t.drop(s)
+	// Guards against a peer that goes on sending whatever is done with it: netpoll reads all of it.
+	for _, l := range []struct {
+		at   phase
+		most int
+	}{{greeted, mostInput}, {reading, mostInput}, {serving, maxBehind}} {
+		for s := t.lists[l.at].head; s != nil; {
+			next := s.next
+			if s.conn.Reader().Len() > l.most {
+				out(s, "sessions_flooded")
+				t.drop(s)
+			}
+			s = next
 		}
-		s = next
 	}
 }
