Hold nothing against engines when the front end itself is out of descriptors

Cause, by a test with the real program whose limit of descriptors is set to 0 for a while: a dial that fails with EMFILE was read as 'the engine can't be reached', and a probe that finds no socket as a refused one. Two of four engines were ejected at once, taken for cold after that, and a query was refused though all was well again. The program's own bounds leave about five descriptors of 168, and a burst of connections that the machine accepts at once passes them.

Change: sockets.dial reads EMFILE and ENFILE as errNoSocket, which ends an attempt as full (it never ran) and lets a kept connection make room; a probe that was not made brings no word.

Measured: TestWantOfDescriptorsIsNoFaultOfTheEngines, with and without probes, three times with the race detector; fails without the change (both).

--- a/cmd/beechcart/standing_test.go
+++ b/cmd/beechcart/standing_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 )
 
 // status is a field of what the machine tells of the process.
@@ -203,3 +204,34 @@
 	}
 	assert.EqualValues(t, 5, r.counter("sessions_refused"))
 }
+
+// descriptors lets the process open none numbered as high.
+func (r *rig) descriptors(most uint64) {
+	require.NoError(r.t, unix.Prlimit(r.cmd.Process.Pid, unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: most, Max: 1024}, nil))
+}
+
+// That the front end is out of descriptors says nothing of its engines: they serve as before once it has some.
+func TestWantOfDescriptorsIsNoFaultOfTheEngines(t *testing.T) {
+	for _, probes := range []bool{true, false} {
+		t.Run(fmt.Sprint("probes ", probes), func(t *testing.T) {
+			engines := []*engine{newEngine(t, nil), newEngine(t, nil), newEngine(t, nil), newEngine(t, nil)}
+			settings := facts
+			if !probes {
+				settings = noProbes(true)
+			}
+			r := startAs(t, settings, engines...)
+			c := r.dial()
+			require.Zero(t, c.query("lookup", 2500).code)
+			r.descriptors(0)
+			for range 12 {
+				assert.Equal(t, 1040, c.query("lookup", 1000).code, "it never ran")
+			}
+			assert.Positive(t, r.counter("no_socket"))
+			r.descriptors(1024)
+			for range 12 {
+				assert.Zero(t, c.query("lookup", 2500).code)
+			}
+			assert.NotContains(t, r.log.String(), "ejected")
+		})
+	}
+}
--- a/internal/engine/attempt_test.go
+++ b/internal/engine/attempt_test.go
@@ -331,7 +331,8 @@
 		}
 		return ok("X-Gauges: util:0.25\r\n", "")
 	})
-	status, rep := f.peer(7).probe()
+	status, rep, err := f.peer(7).probe()
+	require.NoError(t, err)
 	assert.Equal(t, admission.OK, status)
 	assert.Equal(t, 0.25, rep.Util)
 	assert.Equal(t, 2, e.count("GET gauges"))
--- a/internal/engine/conn.go
+++ b/internal/engine/conn.go
@@ -61,7 +61,8 @@
 const mostDials = 4
 
 // dial opens a connection, each try within the time-out. One that is reset while it comes up says nothing of
-// the process behind it, and carried nothing: it is tried again at once. The end of ctx ends it.
+// the process behind it, and carried nothing: it is tried again at once. Nor does it say anything of that process that our own has
+// no descriptor left. The end of ctx ends it.
 func (s *sockets) dial(ctx context.Context, addr string, timeout time.Duration, urgent bool) (*conn, error) {
 	if !s.take(urgent) {
 		return nil, errNoSocket
@@ -72,6 +73,9 @@
 			_ = c.SetWriteTimeout(time.Second)
 			return &conn{c: c, socks: s}, nil
 		}
+		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
+			err, dials = errNoSocket, mostDials
+		}
 		if isTimeout(err) || isRefused(err) || ctx.Err() != nil || dials == mostDials {
 			s.give()
 			return nil, err
--- a/internal/engine/fleet.go
+++ b/internal/engine/fleet.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -179,14 +180,18 @@
 	}
 }
 
-// Probe asks an engine how it is; Told brings the answer.
+// Probe asks an engine how it is; Told brings the answer. One that could not be asked for want of a socket of our own brings none.
 func (f *Fleet) Probe(engine uint32) {
 	p := f.peer(engine)
 	go func() {
 		began := time.Now()
 		ev := admission.Probed{Engine: engine, Status: admission.ConnectFailed}
 		if p != nil {
-			ev.Status, ev.Report = p.probe()
+			var err error
+			if ev.Status, ev.Report, err = p.probe(); errors.Is(err, errNoSocket) {
+				f.opt.Counters.Add("no_socket", 1)
+				return
+			}
 		}
 		ev.Latency = time.Since(began)
 		f.sink.Told(ev)
@@ -259,14 +264,13 @@
 // that is well.
 const mostProbes = 3
 
-func (p *peer) probe() (status admission.Status, rep *admission.Report) {
+func (p *peer) probe() (status admission.Status, rep *admission.Report, err error) {
 	for range mostProbes {
-		var err error
 		if status, rep, err = p.probeOnce(); err == nil || isTimeout(err) || isRefused(err) {
-			return status, rep
+			break
 		}
 	}
-	return status, rep
+	return status, rep, err
 }
 
 func (p *peer) probeOnce() (admission.Status, *admission.Report, error) {
--- a/internal/engine/pool_test.go
+++ b/internal/engine/pool_test.go
@@ -95,7 +95,7 @@
 	trusted(t, f, s)
 	before := e.conns()
 	require.Eventually(t, func() bool { // a connection is taken up again only after Quiet
-		status, _ := f.peer(7).probe()
+		status, _, _ := f.peer(7).probe()
 		require.Equal(t, admission.OK, status)
 		return f.opt.Counters.Get("conn_reused") >= 20
 	}, 10*time.Second, 2*time.Millisecond)
