Take the inputs of a planner under its lock in a test, and wait for the answer itself

Seen: the race detector found the test of faults reading the planner's queue while the new timer after a fault writes it. The test waits for the exchange's own end now (10 s at most) in place of the first input, which need not be the deadline's any more; its assertions stand.

--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -132,10 +132,17 @@
 	p, _, c := newPlanner(func([]admission.Event) []admission.Action { panic("fault") })
 	x := request(50 * time.Millisecond)
 	breach(t, c, "controller_panic", func() { p.step([]input{{kind: taken, x: x}}) })
-	<-p.wake // the deadline's own input
 	p.ctl = script{func([]admission.Event) []admission.Action { return nil }}
-	p.step(p.queue)
-	require.True(t, x.Settled(), "answered before its client stops waiting")
+	select {
+	case <-x.Done(): // by its deadline's own timer
+	case <-time.After(10 * time.Second):
+		require.Fail(t, "it is not answered before its client stops waiting")
+	}
+	p.mu.Lock()
+	in := p.queue
+	p.queue = nil
+	p.mu.Unlock()
+	p.step(in)
 	assert.Equal(t, exchange.Failed, x.Answer().Kind)
 	assert.True(t, time.Now().Before(x.Deadline().Add(time.Second)))
 }
