Send no repeat of a keyed request after its window, however late its connection comes up

The controller looks at the window as it decides; the dial after it may last for a whole connect time-out, and attempt.connect looked at the engine, the client and the time left, not at the window.

Seen in a test with real connections: window 1.2 s, the second engine's connection held until 1.3 s: the repeat was posted and served, 2 of 2.

Change: the planner, which knows when the first attempt in doubt was started, hands Start the time by which the query goes out or not at all (its flag mayRun is that time now); connect looks at it last, with the rest. Such an attempt ends as never sent, the request as failed.

--- a/cmd/beechcart/leaving_test.go
+++ b/cmd/beechcart/leaving_test.go
@@ -304,3 +304,49 @@
 		return
 	}
 }
+
+// A repeat of a keyed request is known for one only for a while: where its connection comes up later, it is not sent.
+func TestARepeatIsNotSentAfterItsWindow(t *testing.T) {
+	for _, late := range []bool{true, false} {
+		t.Run(fmt.Sprint("late ", late), func(t *testing.T) {
+			const window = 1200 * time.Millisecond
+			settings := strings.Replace(noProbes(true), `"name":"lookup"`, fmt.Sprintf(`"memory_span":%d,"name":"lookup"`, window), 1)
+			settings = strings.Replace(settings, "read_like", "idempotency_key", 1)
+			asked := make(chan struct{})
+			first := newEngine(t, func(call string, w http.ResponseWriter, _ *http.Request) bool {
+				switch call {
+				case "POST": // it may have run
+					<-asked
+					reset(w)
+				default:
+					w.WriteHeader(500)
+				}
+				return true
+			})
+			second, coming, open := lateEngine(t)
+			r := startAs(t, settings, first)
+			c := r.dial()
+			began := time.Now()
+			c.send(0, statement("lookup", 20000))
+			first.waitFor(t, "POST", 1)
+			r.tell(first.entry("draining", 0), second.entry("ready", 0))
+			r.says("engine=" + second.name)
+			close(asked)
+			require.Eventually(t, coming, 10*time.Second, time.Millisecond)
+			if late {
+				time.Sleep(time.Until(began.Add(window + 100*time.Millisecond)))
+			}
+			open()
+			a := c.read()
+			if late {
+				assert.Equal(t, 1105, a.code, "nothing is promised: it may have run")
+				assert.Zero(t, second.count("POST"), "it was sent after its window")
+				return
+			}
+			if time.Since(began) < window {
+				assert.Zero(t, a.code, a.text)
+				assert.Equal(t, 1, second.count("POST"))
+			}
+		})
+	}
+}
--- a/internal/engine/attempt.go
+++ b/internal/engine/attempt.go
@@ -47,6 +47,7 @@
 	terms    admission.Terms
 	began    time.Time
 	due      time.Time
+	by       time.Time     // no first byte of it later; zero: no such bound
 	stop     chan struct{} // closed when it is given up
 	stopping bool          // under the fleet's lock
 	outcome  admission.Outcome
@@ -198,9 +199,10 @@
 		a.unproved = a.c
 	}
 	// Guards against late sends: the wait for a connection may have outlasted the word that the engine drains,
-	// the request, or the time left. Whether anyone still waits is the exchange's word alone: where nothing may be cancelled, nobody
+	// the request, the time left, or the window for repeats. Whether anyone still waits is the exchange's word alone: where nothing may be cancelled, nobody
 	// gives the attempt up as its client leaves.
-	if a.stopped() || a.x.Settled() || !a.peer.isReady() || time.Until(a.due) < time.Millisecond {
+	late := time.Until(a.due) < time.Millisecond || (!a.by.IsZero() && time.Now().After(a.by))
+	if late || a.stopped() || a.x.Settled() || !a.peer.isReady() {
 		a.fleet.opt.Counters.Add("unsent", 1)
 		return admission.Moot
 	}
--- a/internal/engine/attempt_test.go
+++ b/internal/engine/attempt_test.go
@@ -163,7 +163,7 @@
 				}
 				return good
 			})
-			f.Start(newExchange(), 0, 7, admission.Terms{Priority: 1}, 10*time.Second)
+			f.Start(newExchange(), 0, 7, admission.Terms{Priority: 1}, 10*time.Second, time.Time{})
 			end := <-s
 			assert.Equal(t, admission.OK, end.Status)
 			assert.Equal(t, rows, end.rows)
@@ -189,7 +189,7 @@
 		}
 		return ok("X-Batch: 2\r\n", pages[2])
 	})
-	f.Start(newExchange(), 0, 7, admission.Terms{Priority: 1}, 10*time.Second)
+	f.Start(newExchange(), 0, 7, admission.Terms{Priority: 1}, 10*time.Second, time.Time{})
 	end := <-s
 	assert.Equal(t, admission.OK, end.Status)
 	assert.Equal(t, strings.Join(pages, ""), end.rows)
@@ -200,7 +200,7 @@
 func TestNoConnectionCarriesTwoQueries(t *testing.T) {
 	f, s, _, e := newFleet(t, 100, nil)
 	for n := range 3 {
-		f.Start(newExchange(), n, 7, admission.Terms{Priority: 1}, 10*time.Second)
+		f.Start(newExchange(), n, 7, admission.Terms{Priority: 1}, 10*time.Second, time.Time{})
 		require.Equal(t, admission.OK, (<-s).Status)
 		assert.Equal(t, n+1, e.conns())
 	}
@@ -213,7 +213,7 @@
 		}
 		return unknown
 	})
-	f.Start(newExchange(), 0, 7, admission.Terms{Priority: 1}, 10*time.Second)
+	f.Start(newExchange(), 0, 7, admission.Terms{Priority: 1}, 10*time.Second, time.Time{})
 	end := <-s
 	assert.Equal(t, admission.Reset, end.Status, "it may have run, for all that we know")
 	assert.True(t, end.Alive, "the engine has answered since")
@@ -232,7 +232,7 @@
 		}
 		return unknown
 	})
-	f.Start(newExchange(), 0, 7, admission.Terms{Priority: 1}, 10*time.Second)
+	f.Start(newExchange(), 0, 7, admission.Terms{Priority: 1}, 10*time.Second, time.Time{})
 	end := <-s
 	assert.Equal(t, admission.Reset, end.Status, "it may have run, for all that we know")
 	assert.True(t, end.Alive)
@@ -260,7 +260,7 @@
 				return "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n"
 			})
 			f.opt.Deletes = deletes
-			f.Start(x, 0, 7, admission.Terms{Priority: 1}, 10*time.Second)
+			f.Start(x, 0, 7, admission.Terms{Priority: 1}, 10*time.Second, time.Time{})
 			if <-x.Done(); deletes {
 				f.Cancel(x.ID, 0)
 			}
@@ -286,7 +286,7 @@
 		}
 		return good
 	})
-	f.Start(newExchange(), 0, 7, admission.Terms{Priority: 1}, 10*time.Second)
+	f.Start(newExchange(), 0, 7, admission.Terms{Priority: 1}, 10*time.Second, time.Time{})
 	end := <-s
 	assert.Equal(t, admission.OK, end.Status)
 	assert.Equal(t, "a\tb\tc\n", end.rows)
@@ -300,7 +300,7 @@
 		}
 		return unknown
 	})
-	f.Start(newExchange(), 0, 7, admission.Terms{Priority: 1}, 10*time.Second)
+	f.Start(newExchange(), 0, 7, admission.Terms{Priority: 1}, 10*time.Second, time.Time{})
 	end := <-s
 	assert.Equal(t, admission.Errored, end.Status)
 	assert.Empty(t, end.rows)
@@ -315,7 +315,7 @@
 		<-leave
 		return reset
 	})
-	f.Start(newExchange(), 0, 7, admission.Terms{Priority: 1}, 10*time.Second)
+	f.Start(newExchange(), 0, 7, admission.Terms{Priority: 1}, 10*time.Second, time.Time{})
 	<-arrived
 	f.Update(list(addr, admission.Removed))
 	close(leave)
@@ -341,20 +341,20 @@
 func TestNothingIsSentToAnEngineThatDrains(t *testing.T) {
 	f, s, addr, _ := newFleet(t, 100, nil)
 	f.Update(list(addr, admission.Draining))
-	f.Start(newExchange(), 0, 7, admission.Terms{Priority: 1}, time.Second)
+	f.Start(newExchange(), 0, 7, admission.Terms{Priority: 1}, time.Second, time.Time{})
 	assert.Equal(t, admission.Moot, (<-s).Status)
 	f.Update(list(addr, admission.Ready))
-	f.Start(newExchange(), 0, 7, admission.Terms{Priority: 1}, time.Second)
+	f.Start(newExchange(), 0, 7, admission.Terms{Priority: 1}, time.Second, time.Time{})
 	assert.Equal(t, admission.OK, (<-s).Status)
 }
 
 func TestAnEngineThatLeftTheListMayComeBack(t *testing.T) {
 	f, s, addr, _ := newFleet(t, 100, nil)
 	f.Update(roster.List{Complete: true})
-	f.Start(newExchange(), 0, 7, admission.Terms{Priority: 1}, time.Second)
+	f.Start(newExchange(), 0, 7, admission.Terms{Priority: 1}, time.Second, time.Time{})
 	require.Equal(t, admission.Moot, (<-s).Status)
 	f.Update(list(addr, admission.Ready))
-	f.Start(newExchange(), 0, 7, admission.Terms{Priority: 1}, time.Second)
+	f.Start(newExchange(), 0, 7, admission.Terms{Priority: 1}, time.Second, time.Time{})
 	assert.Equal(t, admission.OK, (<-s).Status)
 }
 
@@ -363,7 +363,7 @@
 	for range 7 {
 		require.True(t, f.socks.take(false))
 	}
-	f.Start(newExchange(), 0, 7, admission.Terms{Priority: 1}, time.Second)
+	f.Start(newExchange(), 0, 7, admission.Terms{Priority: 1}, time.Second, time.Time{})
 	assert.Equal(t, admission.Full, (<-s).Status)
 	assert.True(t, f.socks.take(true), "a probe finds a socket")
 	assert.False(t, f.socks.take(true))
@@ -375,6 +375,6 @@
 	require.NoError(t, err)
 	require.NoError(t, l.Close())
 	f.Update(list(l.Addr().String(), admission.Ready))
-	f.Start(newExchange(), 0, 7, admission.Terms{Priority: 1}, time.Second)
+	f.Start(newExchange(), 0, 7, admission.Terms{Priority: 1}, time.Second, time.Time{})
 	assert.Equal(t, admission.ConnectFailed, (<-s).Status)
 }
--- a/internal/engine/fleet.go
+++ b/internal/engine/fleet.go
@@ -100,10 +100,11 @@
 	return f.peers[id]
 }
 
-// Start sends an attempt on its way under those terms; Ended will tell of it once.
-func (f *Fleet) Start(x *exchange.Exchange, n int, engine uint32, terms admission.Terms, limit time.Duration) {
+// Start sends an attempt on its way under those terms; Ended will tell of it once. Its query goes out by that time or not at all,
+// where one is given.
+func (f *Fleet) Start(x *exchange.Exchange, n int, engine uint32, terms admission.Terms, limit time.Duration, by time.Time) {
 	a := &attempt{
-		fleet: f, x: x, n: n, peer: f.peer(engine), engine: engine, terms: terms,
+		fleet: f, x: x, n: n, peer: f.peer(engine), engine: engine, terms: terms, by: by,
 		began: time.Now(), stop: make(chan struct{}),
 	}
 	a.due = a.began.Add(limit)
--- a/internal/engine/pool_test.go
+++ b/internal/engine/pool_test.go
@@ -45,7 +45,7 @@
 // query runs one request of a class to its end.
 func query(t *testing.T, f *Fleet, s sink, class int) ending {
 	x := exchange.New(exchange.Request{ID: "9b1f03aa5c7e2d41", Class: class, Statement: []byte("SELECT 1")}, time.Now())
-	f.Start(x, 0, 7, admission.Terms{Priority: 1}, 10*time.Second)
+	f.Start(x, 0, 7, admission.Terms{Priority: 1}, 10*time.Second, time.Time{})
 	end := <-s
 	require.Equal(t, admission.OK, end.Status)
 	return end
@@ -221,14 +221,14 @@
 	})
 	assert.False(t, f.Idle(7), "nothing is out, and anything may start")
 	x := exchange.New(exchange.Request{ID: "9b1f03aa5c7e2d41", Statement: []byte("SELECT 1")}, time.Now())
-	f.Start(x, 0, 7, admission.Terms{Priority: 1}, 10*time.Second)
+	f.Start(x, 0, 7, admission.Terms{Priority: 1}, 10*time.Second, time.Time{})
 	f.Update(list(addr, admission.Draining))
 	assert.False(t, f.Idle(7), "one is out")
 	close(halt)
 	<-s
 	assert.True(t, f.Idle(7))
 	assert.True(t, f.Idle(8), "not known")
-	f.Start(exchange.New(exchange.Request{ID: "9b1f03aa5c7e2d42", Statement: []byte("SELECT 1")}, time.Now()), 0, 7, admission.Terms{Priority: 1}, time.Second)
+	f.Start(exchange.New(exchange.Request{ID: "9b1f03aa5c7e2d42", Statement: []byte("SELECT 1")}, time.Now()), 0, 7, admission.Terms{Priority: 1}, time.Second, time.Time{})
 	assert.Equal(t, admission.Moot, (<-s).Status, "and nothing starts")
 }
 
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -17,7 +17,8 @@
 // Engines is the server side, as the planner needs it.
 type Engines interface {
 	Update(l roster.List)
-	Start(x *exchange.Exchange, n int, engine uint32, terms admission.Terms, limit time.Duration)
+	// Start sends an attempt on its way. Its query goes out by that time or not at all, where one is given.
+	Start(x *exchange.Exchange, n int, engine uint32, terms admission.Terms, limit time.Duration, by time.Time)
 	Cancel(id string, n int)
 	Probe(engine uint32)
 	CloseIdle(engine uint32)
@@ -53,12 +54,13 @@
 
 // entry is a request that the controller knows.
 type entry struct {
-	x      *exchange.Exchange
-	tries  int
-	out    int
-	terms  admission.Terms // of its next attempts
-	mayRun bool            // an attempt may have run
-	timer  *time.Timer
+	x     *exchange.Exchange
+	tries int
+	out   int
+	terms admission.Terms // of its next attempts
+	sent  time.Time       // when the last attempt was started
+	doubt time.Time       // when the first that may have run was; zero: none may
+	timer *time.Timer
 }
 
 // Planner feeds one controller.
@@ -281,7 +283,9 @@
 		return nil
 	}
 	e.out--
-	e.mayRun = e.mayRun || !o.Status.NeverRan()
+	if e.doubt.IsZero() && !o.Status.NeverRan() {
+		e.doubt = e.sent
+	}
 	if o.Status == admission.OK {
 		if in.x.Settle(exchange.Answer{Kind: exchange.Served, Rows: in.rows}) {
 			p.counters.Add("served", 1)
@@ -342,6 +346,8 @@
 	}
 }
 
+// send starts an attempt. Guards against a repeat that engines no longer know for one: the wait for its connection may outlast the
+// window in which they do.
 func (p *Planner) send(a admission.Send) {
 	e := p.open[a.ID]
 	if !p.counters.Hold(e != nil && e.out == 0, "two_attempts") {
@@ -350,8 +356,13 @@
 	n := e.tries
 	e.tries++
 	e.out++
+	e.sent = time.Now()
+	var by time.Time
+	if c := &p.classes[e.x.Class]; c.Effect == admission.Keyed && !e.doubt.IsZero() {
+		by = e.doubt.Add(c.Window)
+	}
 	p.counters.Add("sent", 1)
-	p.engines.Start(e.x, n, a.Engine, e.terms, a.Cap)
+	p.engines.Start(e.x, n, a.Engine, e.terms, a.Cap, by)
 }
 
 // refuse passes a refusal on, with the pause that the controller advises. A refusal says that a repeat is
@@ -361,7 +372,7 @@
 	if e == nil {
 		return
 	}
-	unsafe := p.classes[e.x.Class].Effect == admission.Unsafe && (e.mayRun || e.out > 0)
+	unsafe := p.classes[e.x.Class].Effect == admission.Unsafe && (!e.doubt.IsZero() || e.out > 0)
 	if !p.counters.Hold(!unsafe, "refused_in_doubt") {
 		p.finish(a.ID, exchange.Answer{Kind: exchange.Failed, Reason: "the query failed and may have run"})
 		return
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -31,7 +31,7 @@
 }
 
 func (e *engines) Update(roster.List) {}
-func (e *engines) Start(_ *exchange.Exchange, _ int, _ uint32, terms admission.Terms, _ time.Duration) {
+func (e *engines) Start(_ *exchange.Exchange, _ int, _ uint32, terms admission.Terms, _ time.Duration, _ time.Time) {
 	e.started++
 	e.terms = terms
 }
