--- a/cmd/beechcart/run.go
+++ b/cmd/beechcart/run.go
@@ -60,6 +60,7 @@
 
 // run serves until a signal, or the fleet, ends it.
 func run(f *files) error {
+	signal.Ignore(syscall.SIGPIPE) // guards against ending because who reads the log has gone
 	// Guards against a stop that is lost behind many reloads: what does not fit into a channel is dropped.
 	ends, reloads := make(chan os.Signal, 1), make(chan os.Signal, 1)
 	signal.Notify(ends, syscall.SIGTERM, syscall.SIGINT)
--- a/cmd/beechcart/stopping_test.go
+++ b/cmd/beechcart/stopping_test.go
@@ -1,8 +1,10 @@
 package main_test
 
 import (
+	"bufio"
 	"fmt"
 	"os"
+	"os/exec"
 	"strings"
 	"syscall"
 	"testing"
@@ -62,6 +64,38 @@
 	assert.Contains(t, r.log.String(), "reload failed", "half a configuration")
 }
 
+// The program outlives who reads its log.
+func TestTheEndOfTheLogsReaderEndsNothing(t *testing.T) {
+	e := newEngine(t, nil)
+	r := start(t, e) // for its configuration and its change log
+	read, write, err := os.Pipe()
+	require.NoError(t, err)
+	cmd := exec.Command(program)
+	cmd.Env = append(os.Environ(), "PROXY_CONFIG="+r.path, "PROXY_LISTEN=127.0.0.1:0", "BEECHCART_SETTINGS=")
+	cmd.Stderr = write
+	require.NoError(t, cmd.Start())
+	defer func() { _ = cmd.Process.Kill() }()
+	require.NoError(t, write.Close())
+	lines := bufio.NewScanner(read)
+	for lines.Scan() && !strings.Contains(lines.Text(), "msg=listening") {
+	}
+	_, address, found := strings.Cut(lines.Text(), "address=")
+	require.True(t, found)
+	require.NoError(t, read.Close())
+	reader := &rig{t: t, addr: address}
+	r.tell(e.entry("ready", 7)) // a line each
+	r.tell(e.entry("ready", 0))
+	require.NoError(t, cmd.Process.Signal(syscall.SIGHUP))
+	for range 3 {
+		c := reader.dial()
+		c.send(0, "\x1c") // a line as well
+		require.Equal(t, 1047, c.read().code)
+		require.Zero(t, c.query("lookup", 2500).code)
+	}
+	require.NoError(t, cmd.Process.Signal(syscall.SIGTERM))
+	require.NoError(t, cmd.Wait())
+}
+
 // With deadlines of 300 ms the platform kills the process 1 s after SIGTERM: nobody may hold its end up, and all is answered before.
 func TestNobodyHoldsUpAnEndWithShortDeadlines(t *testing.T) {
 	short := strings.NewReplacer(`"deadline":25000000000`, `"deadline":300000000`, `"deadline":2500000000`, `"deadline":300000000`,
