Ask again for events that are told of and do not come; let nobody wait for who reads the log

Cause, by reading, then by tests with real connections: - roster.Log.Read took the answer's number for the last event held, also where the events did not come with it ({"seq":99,"results":[]}): they were never asked for again. Feed logs each engine that is listed, so the list stood still: 2,000 lines in, queries were refused and the drain was not heard.

Ruled out: the log's other answers (garbage, 500, old number, half a list) already left what is held.

--- a/cmd/beechcart/news_test.go
+++ b/cmd/beechcart/news_test.go
@@ -34,6 +34,7 @@
 		"is answered 500":      func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(500) },
 		"brings garbage":       write("\x8c\x6d\x4f"),
 		"brings an old number": write(`{"seq":0,"results":[]}`),
+		"brings a number only": write(`{"seq":99,"results":[]}`),
 		"brings half a list":   write(`{"seq":99,"results":[{"seq":99,"fleet":{"endpoints":[{`),
 		"never ends": func(w http.ResponseWriter, q *http.Request) {
 			for q.Context().Err() == nil {
--- a/cmd/beechcart/run.go
+++ b/cmd/beechcart/run.go
@@ -80,11 +80,13 @@
 			return fmt.Errorf("known: %w", err)
 		}
 	}
-	log := newLog(os.Stderr, ops.Log).With("node", cfg.Name)
-	if err := fit(cfg); err != nil {
+	counters := &invariant.Counters{}
+	out := newLines(os.Stderr, counters)
+	defer out.flush()
+	log := newLog(out, ops.Log).With("node", cfg.Name)
+	if err := fit(cfg, out); err != nil {
 		return err
 	}
-	counters := &invariant.Counters{}
 	plan := planner.New(ctl, cfg.Admission.Classes, counters, log)
 	trust, err := ops.Connections(cfg.HandshakePrice, cfg.Sockets)
 	if err != nil {
@@ -193,10 +195,10 @@
 }
 
 // fit sizes the run time to the machine that the front end has.
-func fit(cfg *settings.Config) error {
+func fit(cfg *settings.Config, log io.Writer) error {
 	runtime.GOMAXPROCS(max(1, int(cfg.Cores)))
 	debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * 7 / 10)
-	return netpoll.Configure(netpoll.Config{PollerNum: 1})
+	return netpoll.Configure(netpoll.Config{PollerNum: 1, LoggerOutput: log})
 }
 
 // list keeps the engine list up to date, from one source at a time.
--- a/cmd/beechcart/stopping_test.go
+++ b/cmd/beechcart/stopping_test.go
@@ -64,30 +64,36 @@
 	assert.Contains(t, r.log.String(), "reload failed", "half a configuration")
 }
 
-// The program outlives who reads its log.
-func TestTheEndOfTheLogsReaderEndsNothing(t *testing.T) {
-	e := newEngine(t, nil)
-	r := start(t, e) // for its configuration and its change log
+// withLog starts the program once more, with the configuration of a rig, and returns the end of its log that is read, once it listens.
+func (r *rig) withLog() (cmd *exec.Cmd, read *os.File, second *rig) {
 	read, write, err := os.Pipe()
-	require.NoError(t, err)
-	cmd := exec.Command(program)
+	require.NoError(r.t, err)
+	r.t.Cleanup(func() { read.Close() })
+	cmd = exec.Command(program)
 	cmd.Env = append(os.Environ(), "PROXY_CONFIG="+r.path, "PROXY_LISTEN=127.0.0.1:0", "BEECHCART_SETTINGS=")
 	cmd.Stderr = write
-	require.NoError(t, cmd.Start())
-	defer func() { _ = cmd.Process.Kill() }()
-	require.NoError(t, write.Close())
+	require.NoError(r.t, cmd.Start())
+	r.t.Cleanup(func() { _ = cmd.Process.Kill() })
+	require.NoError(r.t, write.Close())
 	lines := bufio.NewScanner(read)
 	for lines.Scan() && !strings.Contains(lines.Text(), "msg=listening") {
 	}
 	_, address, found := strings.Cut(lines.Text(), "address=")
-	require.True(t, found)
+	require.True(r.t, found)
+	return cmd, read, &rig{t: r.t, addr: address}
+}
+
+// The program outlives who reads its log.
+func TestTheEndOfTheLogsReaderEndsNothing(t *testing.T) {
+	e := newEngine(t, nil)
+	r := start(t, e)
+	cmd, read, second := r.withLog()
 	require.NoError(t, read.Close())
-	reader := &rig{t: t, addr: address}
 	r.tell(e.entry("ready", 7)) // a line each
 	r.tell(e.entry("ready", 0))
 	require.NoError(t, cmd.Process.Signal(syscall.SIGHUP))
 	for range 3 {
-		c := reader.dial()
+		c := second.dial()
 		c.send(0, "\x1c") // a line as well
 		require.Equal(t, 1047, c.read().code)
 		require.Zero(t, c.query("lookup", 2500).code)
@@ -96,6 +102,33 @@
 	require.NoError(t, cmd.Wait())
 }
 
+// Nobody waits for who reads the log: with 64 KB unread, a drain is heard, queries are served, and a stop ends.
+func TestALogThatNobodyReadsHoldsNothing(t *testing.T) {
+	e, other := newEngine(t, nil), newEngine(t, nil)
+	r := start(t, e)
+	cmd, _, second := r.withLog()
+	for n := range 20 { // 100 lines each, of over 100 bytes
+		state := []string{"draining", "ready"}[n%2]
+		var list []string
+		for range 100 {
+			list = append(list, e.entry(state, 0))
+		}
+		r.tell(list...)
+	}
+	r.tell(e.entry("draining", 0), other.entry("ready", 0))
+	for end := time.Now().Add(10 * time.Second); other.count("POST") == 0; {
+		require.True(t, time.Now().Before(end), "the list is held up")
+		require.Zero(t, second.dial().query("lookup", 2500).code)
+	}
+	began := e.count("POST")
+	for range 5 {
+		require.Zero(t, second.dial().query("lookup", 2500).code)
+	}
+	assert.Equal(t, began, e.count("POST"), "it drains")
+	require.NoError(t, cmd.Process.Signal(syscall.SIGTERM))
+	require.NoError(t, cmd.Wait())
+}
+
 // With deadlines of 300 ms the platform kills the process 1 s after SIGTERM: nobody may hold its end up, and all is answered before.
 func TestNobodyHoldsUpAnEndWithShortDeadlines(t *testing.T) {
 	short := strings.NewReplacer(`"deadline":25000000000`, `"deadline":300000000`, `"deadline":2500000000`, `"deadline":300000000`,
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -43,6 +43,7 @@
 type Log struct {
 	names settings.Names
 	seq   int64
+	told  int64 // the last event that the last answer told of
 }
 
 // NewLog starts before the first event.
@@ -74,6 +75,9 @@
 			continue // an event of another kind
 		}
 		list := List{Complete: seq == 1 || fleet.GetBool("snapshot")}
+		if e := fleet.Get("endpoints"); list.Complete && (e == nil || e.Type() != fastjson.TypeArray) {
+			return nil, fmt.Errorf("change log: event %d: a whole list without endpoints", seq) // it would end every engine
+		}
 		for _, e := range fleet.GetArray("endpoints") {
 			en, err := l.engine(e)
 			if err != nil {
@@ -83,10 +87,13 @@
 		}
 		lists = append(lists, list)
 	}
-	l.seq = max(last, v.GetInt64("seq"))
+	l.seq, l.told = last, v.GetInt64("seq")
 	return lists, nil
 }
 
+// Behind tells that the answer that was read last told of events that did not come with it.
+func (l *Log) Behind() bool { return l.told > l.seq }
+
 func (l *Log) engine(v *fastjson.Value) (Engine, error) {
 	str := func(name string) string { return string(v.GetStringBytes(name)) }
 	e := Engine{Name: str("name"), Addr: str("address")}
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -40,10 +40,18 @@
 	lists, err = l.Read([]byte(`{"seq":4,"results":[]}`))
 	assert.NoError(t, err)
 	assert.Empty(t, lists)
+	assert.False(t, l.Behind())
+
+	lists, err = l.Read([]byte(`{"seq":9,"results":[{"seq":5,"fleet":{"endpoints":[{"name":"s-1","status":"ready"}]}},7]}`))
+	assert.NoError(t, err)
+	assert.Len(t, lists, 1)
+	assert.EqualValues(t, 5, l.Seq(), "what is told of and did not come is asked for again")
+	assert.True(t, l.Behind())
 }
 
 func TestReadMalformed(t *testing.T) {
-	for _, in := range []string{"", "{", "[]", `{"results":[]}`, `{"seq":"1"}`, `{"seq":2,"results":[{"seq":2,"fleet":{"endpoints":[{}]}}]}`} {
+	for _, in := range []string{"", "{", "[]", `{"results":[]}`, `{"seq":"1"}`, `{"seq":2,"results":[{"seq":2,"fleet":{"endpoints":[{}]}}]}`,
+		`{"seq":1,"results":[{"seq":1,"fleet":{"index":1}}]}`, `{"seq":2,"results":[{"seq":2,"fleet":{"snapshot":true,"endpoints":"x"}}]}`} {
 		l := NewLog(settings.Names{})
 		_, err := l.Read([]byte(in))
 		assert.Error(t, err, in)
--- a/internal/source/changelog/changelog.go
+++ b/internal/source/changelog/changelog.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 
 	"beechcart/internal/engine"
@@ -30,6 +31,10 @@
 		for _, l := range lists {
 			take(l)
 		}
+		// Guards against passing over events for good: what is asked for is what comes after those that are held.
+		if err == nil && s.changes.Behind() {
+			err = fmt.Errorf("change log: events after %d are told of and did not come", s.changes.Seq())
+		}
 		return s.changes.Seq(), err
 	}, s.state)
 }
