Read lists of the change log of up to 4 MB

Cause: the change log's answer had the bound of an engine's, 256 KB, some 1,700 engines in one list; what is longer was taken for an answer that never ends, each time anew, so nothing of the change log was heard any more.

Change: parseUpTo has the bound as an argument; a connection to the change log has 4 MB. Answers of engines keep theirs.

--- a/cmd/beechcart/news_test.go
+++ b/cmd/beechcart/news_test.go
@@ -1,6 +1,7 @@
 package main_test
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -63,6 +64,19 @@
 	}
 }
 
+// A list may be far longer than any answer of an engine.
+func TestALongListIsHeard(t *testing.T) {
+	e := newEngine(t, nil)
+	r := start(t, e)
+	list := []string{e.entry("draining", 0)}
+	for n := range 5000 {
+		list = append(list, fmt.Sprintf(`{"name":"s-%08x","address":"127.0.0.1:1","zone":"room-a","type":"std-12","group":0,"status":"gone","weight":1,"since_ms":0}`, n))
+	}
+	require.Greater(t, len(strings.Join(list, "")), 512<<10)
+	r.tell(list...)
+	r.says("state=draining")
+}
+
 // An old address that takes no connection holds up neither the reload nor the end behind it.
 func TestAReloadWaitsForNoAddressThatTakesNoConnection(t *testing.T) {
 	late, coming, _ := lateEngine(t)
--- a/internal/engine/changelog.go
+++ b/internal/engine/changelog.go
@@ -38,6 +38,7 @@
 		return err
 	}
 	w.Reached(time.Since(began))
+	c.most = maxList
 	defer c.close()
 	defer context.AfterFunc(ctx, c.close)()
 	for {
--- a/internal/engine/conn.go
+++ b/internal/engine/conn.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -53,6 +54,7 @@
 	out   []byte // the call being written; used again once it has been answered
 	took  int    // bytes of the response in hand, which are still in the buffer
 	last  bool   // that response ends the connection
+	most  int    // bytes of the body of a response; 0: maxBody
 
 	queries int // that it has carried
 }
@@ -176,7 +178,7 @@
 		if err != nil {
 			return response{}, err
 		}
-		resp, n, err := parse(buf)
+		resp, n, err := parseUpTo(buf, cmp.Or(c.most, maxBody))
 		if !errors.Is(err, errShort) {
 			c.took, c.last = n, resp.close
 			return resp, err
--- a/internal/engine/http.go
+++ b/internal/engine/http.go
@@ -13,6 +13,7 @@
 const (
 	maxHead = 16 << 10
 	maxBody = 256 << 10
+	maxList = 4 << 20 // of the change log: some 27,000 engines in one list
 )
 
 var (
@@ -38,10 +39,13 @@
 
 // parse reads one response from the start of buf and tells how many bytes it took, interim ones (1xx) ahead of
 // it included. It returns errShort while more has to come. Chunked bodies are joined in place, so buf is changed.
-func parse(buf []byte) (r response, n int, err error) {
+func parse(buf []byte) (r response, n int, err error) { return parseUpTo(buf, maxBody) }
+
+// parseUpTo is parse for a body of so many bytes at most.
+func parseUpTo(buf []byte, most int) (r response, n int, err error) {
 	for {
 		var took int
-		if r, took, err = parseOne(buf[n:]); err != nil {
+		if r, took, err = parseOne(buf[n:], most); err != nil {
 			return r, 0, err
 		}
 		if n += took; r.code >= 200 {
@@ -55,7 +59,7 @@
 
 // parseOne reads one response, interim or final. It guards against all that leaves open where a response ends,
 // or whether it is one: what is misread here could go out as a result that no engine made.
-func parseOne(buf []byte) (r response, n int, err error) {
+func parseOne(buf []byte, most int) (r response, n int, err error) {
 	r.page = -1
 	end := bytes.Index(buf, []byte("\r\n\r\n"))
 	if end < 0 {
@@ -107,7 +111,7 @@
 		return r, n, nil
 	case chunked:
 		var took int
-		if r.body, took, err = dechunk(buf[n:]); err != nil {
+		if r.body, took, err = dechunk(buf[n:], most); err != nil {
 			return r, 0, err
 		}
 		return r, n + took, nil
@@ -116,7 +120,7 @@
 	case length < 0:
 		r.close = true
 		return r, n, nil
-	case length > maxBody:
+	case length > most:
 		return r, 0, errLarge
 	case len(buf) < n+length:
 		return r, 0, errShort
@@ -190,13 +194,13 @@
 
 // dechunk joins the chunks at the start of buf in place, once all are there: a message that is read again when
 // more of it has come must not be changed before.
-func dechunk(buf []byte) (body []byte, n int, err error) {
+func dechunk(buf []byte, most int) (body []byte, n int, err error) {
 	for at := 0; ; {
-		size, from, err := chunk(buf[at:])
+		size, from, err := chunk(buf[at:], most)
 		if err != nil {
 			return nil, 0, err
 		}
-		if at += from + size + 2; at > maxBody {
+		if at += from + size + 2; at > most {
 			return nil, 0, errLarge
 		}
 		if size == 0 {
@@ -205,7 +209,7 @@
 	}
 	w := 0
 	for {
-		size, from, err := chunk(buf[n:])
+		size, from, err := chunk(buf[n:], most)
 		if err != nil {
 			return nil, 0, err
 		}
@@ -219,7 +223,7 @@
 }
 
 // chunk tells the size of the chunk at the start of buf, and where its content begins.
-func chunk(buf []byte) (size, from int, err error) {
+func chunk(buf []byte, most int) (size, from int, err error) {
 	eol := bytes.Index(buf, []byte("\r\n"))
 	if eol < 0 {
 		if len(buf) > 64 {
@@ -227,7 +231,7 @@
 		}
 		return 0, 0, errShort
 	}
-	if size, err = http1.ChunkSize(buf[:eol], maxBody); err != nil {
+	if size, err = http1.ChunkSize(buf[:eol], most); err != nil {
 		return 0, 0, err
 	}
 	from = eol + 2
