--- a/cmd/beechcart/leaving_test.go
+++ b/cmd/beechcart/leaving_test.go
@@ -87,13 +87,15 @@
 func TestAClientThatLeftBetweenTwoAttemptsIsNotSentOn(t *testing.T) {
 	everyLeaving(t, func(t *testing.T, facts string, leave func(r *rig, c *client)) {
 		full := make(chan struct{})
-		e := newEngine(t, func(call string, w http.ResponseWriter, _ *http.Request) bool {
-			if call == "POST" {
-				<-full
+		e := newEngine(t, func(call string, w http.ResponseWriter, q *http.Request) bool {
+			select {
+			case <-full:
 				w.Header().Set("X-Unrun", "1")
 				w.WriteHeader(503)
+				return true
+			default:
+				return slow(call, w, q) // however long the order takes
 			}
-			return call == "POST"
 		})
 		r := startAs(t, facts, e)
 		c := r.dial()
