Lead the slow way of a test through the rig's relays, which had it already

Need, on reading the change once more: a test of lost attempts had a relay of its own, 30 lines, beside the one of internal/drill/rig that cuts, delays and resets. The assertion is as before.

--- a/cmd/beechcart/leaving_test.go
+++ b/cmd/beechcart/leaving_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"strings"
 	"sync/atomic"
@@ -15,7 +16,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
-	"net/http/httptest"
+
+	relays "beechcart/internal/drill/rig"
 )
 
 // noProbes are settings in which engines hear of nothing but queries, and connections may take long to come up.
@@ -398,41 +400,6 @@
 	assert.False(t, runs.Load())
 }
 
-// slowWay passes on what comes for an engine after so long, and returns the address where it takes it.
-func slowWay(t *testing.T, e *engine, after time.Duration) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				to, err := net.Dial("tcp", e.Listener.Addr().String())
-				if err != nil {
-					return
-				}
-				defer to.Close()
-				b := make([]byte, 64<<10)
-				for {
-					n, err := c.Read(b)
-					if err != nil {
-						return
-					}
-					time.Sleep(after)
-					if _, err := to.Write(b[:n]); err != nil {
-						return
-					}
-				}
-			}()
-		}
-	}()
-	return l.Addr().String()
-}
-
 // The way to an engine takes 0.3 s and brings no answer back. An attempt there is over 2 s after the engine was asked last, which is later than
 // it was sent.
 func TestALostAttemptIsOverOnlyOnceItsLastCallIs(t *testing.T) {
@@ -450,7 +417,12 @@
 		return false
 	})
 	r := startAs(t, noProbes(true))
-	entry := strings.Replace(lost.entry("ready", 0), lost.Listener.Addr().String(), slowWay(t, lost, 300*time.Millisecond), 1)
+	way := relays.NewNet(1)
+	t.Cleanup(way.Close)
+	way.Link("front", "engine").Set(relays.Trouble{Delay: 150 * time.Millisecond}) // for a connection, and again for what it brings
+	address, err := way.Lead("front", "engine", lost.Listener.Addr().String(), false)
+	require.NoError(t, err)
+	entry := strings.Replace(lost.entry("ready", 0), lost.Listener.Addr().String(), address, 1)
 	r.tell(entry)
 	r.says("engine=" + lost.name)
 	c := r.dial()
