Let a fleet member's traffic be counted and cut, off where no wire is set

Tests at fleet size need the bytes that membership, calls and the replicated log send, and cuts between zones in one process. Options.Wire counts what goes through a member's sockets, opens its connections from its own address, and drops or delays what is sent to blocked hosts. Without one, members use the sockets and the shared HTTP client as before. Member.Heard tells how many members one hears of.

--- a/internal/fleet/api.go
+++ b/internal/fleet/api.go
@@ -222,7 +222,7 @@
 
 func (e *RefusedError) Error() string { return e.Text }
 
-// client calls keepers; connections are kept.
+// client calls replicas for members without a [Wire]; connections are kept.
 var client = &http.Client{}
 
 // call makes one call to a keeper. An error of another kind than RefusedError tells that another one may be asked.
@@ -243,7 +243,7 @@
 		return err
 	}
 	r.Header.Set("X-Key", o.Key)
-	res, err := client.Do(r)
+	res, err := o.httpClient().Do(r)
 	if err != nil {
 		return err
 	}
--- a/internal/fleet/gossip.go
+++ b/internal/fleet/gossip.go
@@ -64,8 +64,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("fleet: gossip: %w", err)
 	}
+	var transport memberlist.NodeAwareTransport = &routed{t, o}
+	if o.Wire != nil {
+		transport = newWiredTransport(t, o.Wire)
+	}
 	c := memberlist.DefaultLANConfig()
-	c.Name, c.Delegate, c.Transport, c.Logger, c.SecretKey = o.Name, meta{incarnation}, &routed{t, o}, quiet, []byte(o.Key)
+	c.Name, c.Delegate, c.Transport, c.Logger, c.SecretKey = o.Name, meta{incarnation}, transport, quiet, []byte(o.Key)
 	c.BindAddr, c.BindPort, c.AdvertiseAddr, c.AdvertisePort = host, n, host, n
 	c.ProbeInterval, c.ProbeTimeout, c.SuspicionMult = 300*time.Millisecond, 150*time.Millisecond, 3
 	c.GossipInterval, c.PushPullInterval, c.TCPTimeout = 100*time.Millisecond, 5*time.Second, time.Second
@@ -76,7 +80,7 @@
 	c.SuspicionMaxTimeoutMult, c.AwarenessMaxMultiplier = 1, 2
 	list, err := memberlist.Create(c)
 	if err != nil {
-		_ = t.Shutdown()
+		_ = transport.Shutdown()
 		return nil, fmt.Errorf("fleet: gossip: %w", err)
 	}
 	g := &gossip{o, list, make(chan struct{})}
--- a/internal/fleet/keeper.go
+++ b/internal/fleet/keeper.go
@@ -9,7 +9,6 @@
 	"io"
 	"io/fs"
 	"log/slog"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -114,7 +113,7 @@
 		k.disk.Close()
 		return nil, fmt.Errorf("fleet: %s: %w", o.Dir, err)
 	}
-	l, err := net.Listen("tcp", k.me.Ask)
+	l, err := o.listenTCP(k.me.Ask, servedTraffic)
 	if err != nil {
 		k.Close()
 		return nil, fmt.Errorf("fleet: %w", err)
--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -162,8 +162,14 @@
 	close(m.stop)
 	m.done.Wait()
 	m.gossip.close()
+	if m.opt.Wire != nil {
+		m.opt.Wire.http.CloseIdleConnections()
+	}
 }
 
+// Heard is how many members this one hears of, itself among them. One that is suspected for less than a moment is counted.
+func (m *Member) Heard() int { return m.gossip.list.NumMembers() }
+
 func (m *Member) stopped() bool {
 	select {
 	case <-m.stop:
--- a/internal/fleet/options.go
+++ b/internal/fleet/options.go
@@ -23,6 +23,7 @@
 	Settings         rollout.Settings  // of a fleet that has agreed on none yet
 	DiskFaults       string            // a file that names a fault of the log's disk, for drills
 	Skew             time.Duration     // by which this front end's clock is ahead of the machine's, for drills
+	Wire             *Wire             // that counts and restricts what is sent, for tests at fleet size; nil: none. Not with Routes
 	Log              *slog.Logger
 }
 
@@ -63,6 +64,9 @@
 	if _, _, err := net.SplitHostPort(o.Gossip); err != nil {
 		return fmt.Errorf("fleet: gossip: found %q, allowed is HOST:PORT", o.Gossip)
 	}
+	if o.Wire != nil && len(o.Routes) > 0 {
+		return errors.New("fleet: wire: allowed is one without routes")
+	}
 	if o.keeper() != nil && o.Dir == "" {
 		return errors.New("fleet: dir is needed at a front end that keeps the log")
 	}
--- a/internal/fleet/stream.go
+++ b/internal/fleet/stream.go
@@ -25,7 +25,7 @@
 }
 
 func listen(o *Options, addr, id string) (*stream, error) {
-	l, err := net.Listen("tcp", addr)
+	l, err := o.listenTCP(addr, logTraffic)
 	if err != nil {
 		return nil, fmt.Errorf("fleet: %w", err)
 	}
@@ -98,7 +98,7 @@
 	if !ok {
 		return nil, fmt.Errorf("fleet: %q names no identity", to)
 	}
-	c, err := net.DialTimeout("tcp", s.opt.route(hostPort), wait)
+	c, err := s.opt.dialTCP(hostPort, wait, logTraffic)
 	if err != nil {
 		return nil, err
 	}
