--- a/internal/scale/protocol.go
+++ b/internal/scale/protocol.go
@@ -45,30 +45,33 @@
 // HostOrder is a line that a host reads after its configuration. Orders replace one another whole.
 type HostOrder struct {
 	// Blocked lists zones by the zone that is cut from them: a member of zone Z sends nothing to hosts of Blocked[Z]. Both directions of a
-	// cut need an entry each, so a one-way loss is one entry.
+	// cut need an entry each, so a one-way loss is one entry. A zone that HostConfig.AddressByZone does not name is an error.
 	Blocked map[string][]string `json:"blocked,omitempty"`
 }
 
-// Traffic counts what went through sockets. Bytes include IP and UDP or TCP headers: those of datagrams exactly (28 each), those
-// of streams by 40 for each segment's worth of 65,483 bytes (the loopback's) and 200 for opening and closing a connection, which is an estimate.
+// Traffic counts what went through sockets, as [fleet.Traffic] does. Bytes include IP and UDP or TCP headers: those of datagrams exactly
+// (28 each), those of streams by 40 for each segment's worth of 65,483 bytes (the loopback's) and 200 for opening and closing a
+// connection (half sent, half received), which is an estimate. Both ends count, so sent and received of a whole fleet are equal but
+// for losses; only what is sent, or only what is received, is to be summed.
 type Traffic struct {
 	SentBytes        uint64 `json:"sent_bytes"`
 	ReceivedBytes    uint64 `json:"received_bytes"`
-	SentMessages     uint64 `json:"sent_messages"` // datagrams, or writes on a stream
-	ReceivedMessages uint64 `json:"received_messages"`
-	Connections      uint64 `json:"connections"` // opened from this side
+	SentMessages     uint64 `json:"sent_messages"`     // datagrams, or writes on a stream
+	ReceivedMessages uint64 `json:"received_messages"` // datagrams, or reads on a stream
+	Connections      uint64 `json:"connections"`       // opened from this side
 }
 
 // HostReport is what a host tells at each interval. Counters are sums since its start, over its members.
 type HostReport struct {
 	UnixNanos     int64        `json:"unix_nanos"`
-	Members       int          `json:"members"`
-	Known         int          `json:"known"` // members that the log has taken (Member.Known is closed)
+	Members       int          `json:"members"` // that have joined and not left; the gossip socket of each is open
+	Known         int          `json:"known"`   // members that the log has taken (Member.Known is closed)
 	Gossip        Traffic      `json:"gossip"`
-	Calls         Traffic      `json:"calls"` // watches, reports and commands, over HTTP
-	Log           Traffic      `json:"log"`   // of the replicated log, at replicas
+	Calls         Traffic      `json:"calls"`  // watches, reports and commands, over HTTP, counted where they are made
+	Served        Traffic      `json:"served"` // the same, counted at the replicas that answer them
+	Log           Traffic      `json:"log"`    // of the replicated log, at replicas
 	CPUSeconds    float64      `json:"cpu_seconds"`
-	HeapBytes     uint64       `json:"heap_bytes"`
+	HeapBytes     uint64       `json:"heap_bytes"` // live and not yet collected objects
 	ResidentBytes uint64       `json:"resident_bytes"`
 	Goroutines    int          `json:"goroutines"`
 	HeardLeast    int          `json:"heard_least"` // members that the members hear of: the least of them, the mean, the most
@@ -77,7 +80,7 @@
 	Drains        []DrainState `json:"drains,omitempty"`
 }
 
-// DrainState tells how far a drain of an engine has come among a host's members.
+// DrainState tells how far a drain of an engine has come among a host's members. It is reported while the drain is in force at any.
 type DrainState struct {
 	Engine      string  `json:"engine"`
 	InForce     int     `json:"in_force"`             // members
