Add the runner of a fleet at planning size: layout, formation, changes, faults

Cause: no command shows what a fleet of 710 front ends costs, or how fast a change is everywhere. Change: internal/scale starts host processes, real front ends and stand-ins, measures a quiet window, drains of databases and changes of the primary, and plays faults; rig.LoopbackNet is exported for its addresses.

--- a/internal/drill/rig/fleet.go
+++ b/internal/drill/rig/fleet.go
@@ -98,9 +98,9 @@
 // fleets counts the fleets of this process.
 var fleets atomic.Int32
 
-// loopbackNet is the first three numbers of addresses that no other fleet on this machine uses: two fleets at the same ones
-// would take each other's ports. What tells it is that a port of the first is free, which this process holds until it ends.
-func loopbackNet() (string, error) {
+// LoopbackNet returns the first three numbers of 253 addresses (.1 to .253) that no other fleet on this machine uses: two fleets at
+// the same ones would take each other's ports. What tells it is that a port of .254 is free, which this process holds until it ends.
+func LoopbackNet() (string, error) {
 	for range 100 {
 		n := int(fleets.Add(1))
 		base := fmt.Sprintf("127.%d.%d", 20+(os.Getpid()+n/200)%200, 20+n%200)
@@ -131,7 +131,7 @@
 	if o.Members > 200 {
 		return nil, fmt.Errorf("rig: members: found %d, allowed is up to 200", o.Members)
 	}
-	base, err := loopbackNet()
+	base, err := LoopbackNet()
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/scale/change.go
@@ -0,0 +1,162 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"beechcart/decision/rollout"
+)
+
+const (
+	changeWithin = 15 * time.Second // a drain that is not in force at every live member by then is lost
+	changeStands = 2 * time.Second  // how long a drain that is in force everywhere is watched for going out of force
+)
+
+// change is one drain of a database, as the members had it in force.
+type change struct {
+	engine   string
+	sent     time.Time   // when the call that the log accepted was made
+	inForce  []time.Time // at each live member that had it
+	live     int         // members that had to have it
+	reverted int         // members at which it went out of force while it stood
+}
+
+func (c *change) lost() bool { return len(c.inForce) < c.live }
+
+// last is when the last live member had the change in force.
+func (c *change) last() (last time.Time) {
+	for _, at := range c.inForce {
+		if at.After(last) {
+			last = at
+		}
+	}
+	return last
+}
+
+// changeLog is all changes of a run, and the next database to drain.
+type changeLog struct {
+	made       []*change
+	nextEngine int
+}
+
+// summarize counts the changes and their percentiles.
+func (l *changeLog) summarize(result *Result) {
+	seen := hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)
+	result.Changes = Changes{Made: len(l.made)}
+	for _, c := range l.made {
+		if c.lost() {
+			result.Changes.Lost++
+		}
+		result.Changes.Reverted += c.reverted
+		for _, at := range c.inForce {
+			_ = seen.RecordValue(max(1, at.Sub(c.sent).Microseconds()))
+		}
+	}
+	seconds := func(micros int64) float64 { return float64(micros) / 1e6 }
+	if seen.TotalCount() > 0 {
+		result.InForce = Percentiles{seconds(seen.ValueAtQuantile(50)), seconds(seen.ValueAtQuantile(99)), seconds(seen.Max())}
+	}
+}
+
+// playChanges drains databases one after the other, and measures until each is in force everywhere.
+func (r *run) playChanges(ctx context.Context) error {
+	for range r.opt.Changes {
+		c, err := r.drain(ctx)
+		if err != nil {
+			return err
+		}
+		r.changes.made = append(r.changes.made, c)
+		if err := r.undrain(ctx, c); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// drain drains the next database, waits until it is in force at every live member, and watches it for a while.
+func (r *run) drain(ctx context.Context) (*change, error) {
+	engine := engineName(r.changes.nextEngine % r.opt.Engines)
+	r.changes.nextEngine++
+	within, cancel := context.WithTimeout(ctx, changeWithin)
+	defer cancel()
+	accepted, err := r.apply(within, rollout.Command{Drain: &rollout.Holder{Name: engine, Engine: true}})
+	if err != nil {
+		return nil, fmt.Errorf("scale: drain of %s: %w", engine, err)
+	}
+	c := &change{engine: engine, sent: accepted.sent}
+	for r.collect(c); c.lost(); r.collect(c) {
+		if !pause(within, lookInterval) {
+			break
+		}
+	}
+	r.note("drain of %s: in force at %d of %d after %.2f s", engine, len(c.inForce), c.live, c.last().Sub(c.sent).Seconds())
+	if !c.lost() {
+		pause(ctx, changeStands)
+		c.reverted = r.reverted(c)
+	}
+	return c, nil
+}
+
+// undrain ends a drain and waits until it is out of force at all hosts.
+func (r *run) undrain(ctx context.Context, c *change) error {
+	within, cancel := context.WithTimeout(ctx, changeWithin)
+	defer cancel()
+	if _, err := r.apply(within, rollout.Command{Undrain: &rollout.Holder{Name: c.engine, Engine: true}}); err != nil {
+		return fmt.Errorf("scale: undrain of %s: %w", c.engine, err)
+	}
+	for r.collect(c); len(c.inForce) > 0; r.collect(c) {
+		if !pause(within, lookInterval) {
+			r.note("%s is still drained at %d members", c.engine, len(c.inForce))
+			break
+		}
+	}
+	return nil
+}
+
+// collect reads from the last reports at which live members the change is in force, and since when.
+func (r *run) collect(c *change) {
+	c.inForce, c.live = nil, 0
+	for _, h := range r.hosts {
+		if !h.runs() {
+			continue
+		}
+		c.live += len(h.plan.members)
+		report, _ := h.latest()
+		for _, nanos := range drainOf(report, c.engine).EachNanos {
+			c.inForce = append(c.inForce, time.Unix(0, nanos))
+		}
+	}
+	for _, f := range r.fronts {
+		c.live++
+		if since, ok := f.since(c.engine); ok {
+			c.inForce = append(c.inForce, since)
+		}
+	}
+}
+
+// reverted counts the live members at which a change that was in force everywhere is not any more, or has come anew.
+func (r *run) reverted(c *change) int {
+	last := c.last()
+	now := &change{engine: c.engine}
+	r.collect(now)
+	count := max(0, len(c.inForce)-len(now.inForce))
+	for _, since := range now.inForce {
+		if since.After(last) {
+			count++
+		}
+	}
+	return count
+}
+
+// drainOf is what a report tells of an engine's drain.
+func drainOf(report HostReport, engine string) DrainState {
+	for _, d := range report.Drains {
+		if d.Engine == engine {
+			return d
+		}
+	}
+	return DrainState{Engine: engine}
+}
--- /dev/null
+++ b/internal/scale/fault.go
@@ -0,0 +1,123 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"time"
+)
+
+const (
+	costAfterFor = 5 * time.Second  // the window after a fault whose cost is told
+	quietWithin  = 60 * time.Second // how long a fleet is watched after a fault
+	quietFor     = 5 * time.Second  // so long all must hear of all to count as quiet
+)
+
+// FaultResult is what a fault did to the fleet.
+type FaultResult struct {
+	Name              string        `json:"name"`
+	Played            string        `json:"played"`                  // what was done, to whom
+	Members           int           `json:"members"`                 // that it was done to
+	Seconds           float64       `json:"seconds"`                 // that the trouble lasted
+	QuietAfterSeconds *float64      `json:"quiet_after_seconds"`     // from its end until every member was known and heard of all, and that stayed; null: not within the run
+	After             MemberCost    `json:"per_member_after"`        // in the 5 s after its end; hosts that were started again in them are not in it
+	AfterCores        float64       `json:"cpu_cores_after"`         // of all hosts
+	Heard             []HeardSample `json:"heard"`                   // over time
+	DrainInForce      float64       `json:"drain_in_force_seconds"`  // of a drain that was made after the quiet: until it was in force everywhere
+	DrainLost         bool          `json:"drain_lost"`              // that drain was not in force everywhere within the bound
+	HeldBack          *int          `json:"drain_during_held_back"`  // members without a drain that was made during the trouble, at its end; null: none was made
+	CaughtUpSeconds   *float64      `json:"drain_caught_up_seconds"` // from the trouble's end until that drain was in force everywhere
+}
+
+// HeardSample tells of how many members the others hear, at a time after the trouble's end.
+type HeardSample struct {
+	Seconds float64 `json:"seconds"`
+	Least   int     `json:"least"`
+	Mean    float64 `json:"mean"`
+	Known   int     `json:"known"`
+}
+
+// fault is one kind of trouble: play lets it begin and end, and tells what was done. All is well again but for what the fleet itself has
+// to mend.
+type fault struct {
+	name string
+	play func(ctx context.Context, r *run, found *FaultResult) error
+}
+
+// faults lists them in the order of --faults all.
+var faults = []fault{
+	{"pause", playPause}, {"leader", playLeader}, {"zone", playZone}, {"all-restart", playAllRestart}, {"restarts", playRestarts},
+	{"stop", playStop}, {"regions", playRegions}, {"one-way", playOneWay}, {"disk", playDisk},
+}
+
+// FaultNames lists the faults that can be played, in the order of --faults all.
+func FaultNames() (names []string) {
+	for _, f := range faults {
+		names = append(names, f.name)
+	}
+	return names
+}
+
+// playFaults plays the faults that were asked for, one after the other.
+func (r *run) playFaults(ctx context.Context, result *Result) error {
+	for _, name := range r.opt.Faults {
+		for _, f := range faults {
+			if f.name != name {
+				continue
+			}
+			found, err := r.playFault(ctx, f)
+			if err != nil {
+				return fmt.Errorf("scale: fault %s: %w", name, err)
+			}
+			result.Faults = append(result.Faults, found)
+		}
+	}
+	return nil
+}
+
+// playFault plays one fault, watches the fleet after it until it is quiet, and drains a database then.
+func (r *run) playFault(ctx context.Context, f fault) (FaultResult, error) {
+	found := FaultResult{Name: f.name}
+	r.note("fault: %s", f.name)
+	began := time.Now()
+	if err := f.play(ctx, r, &found); err != nil {
+		return found, err
+	}
+	over := time.Now()
+	found.Seconds = over.Sub(began).Seconds()
+	r.note("%s, is over after %.1f s", found.Played, found.Seconds)
+	r.awaitQuiet(ctx, over, &found)
+	c := r.costsBetween(over, over.Add(costAfterFor))
+	found.After, found.AfterCores = c.member, c.cpuCores
+	r.note("a member sends %.0f B/s in the %v after", c.member.SentBytesPerSecond, costAfterFor)
+	after, err := r.drain(ctx)
+	if err != nil {
+		return found, err
+	}
+	r.changes.made = append(r.changes.made, after)
+	found.DrainInForce, found.DrainLost = after.last().Sub(after.sent).Seconds(), after.lost()
+	return found, r.undrain(ctx, after)
+}
+
+// awaitQuiet follows who hears of whom from the end of a trouble until all have heard of all for quietFor, or quietWithin is over.
+func (r *run) awaitQuiet(ctx context.Context, over time.Time, found *FaultResult) {
+	unquiet := over // the last time at which it was not
+	for time.Since(over) < quietWithin {
+		now := time.Now()
+		state := r.lookSince(over)
+		found.Heard = append(found.Heard, HeardSample{now.Sub(over).Seconds(), state.heardLeast, state.heardMean, state.known})
+		if state.known < state.members || state.heardLeast < r.opt.Members {
+			unquiet = now
+		}
+		if now.Sub(unquiet) >= quietFor {
+			seconds := unquiet.Sub(over).Seconds()
+			found.QuietAfterSeconds = &seconds
+			r.note("quiet after %.1f s", seconds)
+			return
+		}
+		if !pause(ctx, reportMillis*time.Millisecond/2) {
+			return
+		}
+	}
+	last := found.Heard[len(found.Heard)-1]
+	r.note("not quiet after %v: least heard of %d, mean %.1f, known %d", quietWithin, last.Least, last.Mean, last.Known)
+}
--- /dev/null
+++ b/internal/scale/fault_cut.go
@@ -0,0 +1,166 @@
+package scale
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"beechcart/decision/rollout"
+)
+
+// The lengths of cuts. An hour between regions is played shortened: what is waited for in the fleet takes seconds.
+const (
+	zoneCutFor    = 10 * time.Second
+	regionsCutFor = 20 * time.Second
+	drainIntoCut  = 2 * time.Second // from the begin of a cut to a drain
+)
+
+// orderAll gives all hosts the same orders.
+func (r *run) orderAll(order HostOrder) error {
+	for _, h := range r.hosts {
+		if err := h.order(order); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// cutFor lets a cut stand for a while, and drains a database meanwhile. Real front ends are not cut: they take no orders.
+func (r *run) cutFor(ctx context.Context, blocked map[string][]string, stands time.Duration, found *FaultResult) error {
+	if err := r.orderAll(HostOrder{Blocked: blocked}); err != nil {
+		return err
+	}
+	began := time.Now()
+	pause(ctx, drainIntoCut)
+	during, err := r.drainThrough(ctx, stands-drainIntoCut)
+	if err != nil {
+		r.note("%v", err) // nobody could agree
+	}
+	pause(ctx, time.Until(began.Add(stands)))
+	if during != nil {
+		r.collect(during)
+		heldBack := during.live - len(during.inForce)
+		found.HeldBack = &heldBack
+	}
+	if err := r.orderAll(HostOrder{}); err != nil || during == nil {
+		return err
+	}
+	return r.catchUp(ctx, during, time.Now(), found)
+}
+
+// drainThrough enters a drain within a time and does not wait for its effect.
+func (r *run) drainThrough(ctx context.Context, wait time.Duration) (*change, error) {
+	within, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	engine := engineName(r.changes.nextEngine % r.opt.Engines)
+	r.changes.nextEngine++
+	accepted, err := r.apply(within, rollout.Command{Drain: &rollout.Holder{Name: engine, Engine: true}})
+	if err != nil {
+		return nil, fmt.Errorf("no drain is agreed on during the cut: %w", err)
+	}
+	return &change{engine: engine, sent: accepted.sent}, nil
+}
+
+// catchUp waits until a drain that was made during a trouble is in force everywhere, and ends it.
+func (r *run) catchUp(ctx context.Context, during *change, over time.Time, found *FaultResult) error {
+	within, cancel := context.WithTimeout(ctx, changeWithin)
+	defer cancel()
+	for r.collect(during); during.lost(); r.collect(during) {
+		if !pause(within, lookInterval) {
+			break
+		}
+	}
+	if !during.lost() {
+		seconds := max(0, during.last().Sub(over).Seconds())
+		found.CaughtUpSeconds = &seconds
+	}
+	return r.undrain(ctx, during)
+}
+
+// cutZone is a zone without real front ends, where there is one, as the seed draws it.
+func (r *run) cutZone() (string, error) {
+	if r.opt.Zones < 2 {
+		return "", errors.New("there is one zone only")
+	}
+	real := map[string]bool{}
+	for _, m := range r.plan.members {
+		if m.real {
+			real[m.Zone] = true
+		}
+	}
+	var free []string
+	for _, z := range r.plan.zones {
+		if !real[z.Zone] {
+			free = append(free, z.Zone)
+		}
+	}
+	if len(free) == 0 {
+		return r.plan.zones[r.rng.IntN(r.opt.Zones)].Zone, nil
+	}
+	return free[r.rng.IntN(len(free))], nil
+}
+
+// zonesBut lists all other zones.
+func (r *run) zonesBut(zone string) (others []string) {
+	for _, z := range r.plan.zones {
+		if z.Zone != zone {
+			others = append(others, z.Zone)
+		}
+	}
+	return others
+}
+
+func (r *run) membersIn(zone string) (members int) {
+	for _, m := range r.plan.members {
+		if m.Zone == zone && !m.real {
+			members++
+		}
+	}
+	return members
+}
+
+// playZone cuts a zone off from all others.
+func playZone(ctx context.Context, r *run, found *FaultResult) error {
+	zone, err := r.cutZone()
+	if err != nil {
+		return err
+	}
+	others := r.zonesBut(zone)
+	blocked := map[string][]string{zone: others}
+	for _, other := range others {
+		blocked[other] = []string{zone}
+	}
+	found.Members = r.membersIn(zone)
+	found.Played = fmt.Sprintf("%s with %d members is cut off for %v", zone, found.Members, zoneCutFor)
+	return r.cutFor(ctx, blocked, zoneCutFor, found)
+}
+
+// playOneWay lets everything that a zone sends to others be lost; it still receives.
+func playOneWay(ctx context.Context, r *run, found *FaultResult) error {
+	zone, err := r.cutZone()
+	if err != nil {
+		return err
+	}
+	found.Members = r.membersIn(zone)
+	found.Played = fmt.Sprintf("what %s with %d members sends is lost for %v", zone, found.Members, zoneCutFor)
+	return r.cutFor(ctx, map[string][]string{zone: r.zonesBut(zone)}, zoneCutFor, found)
+}
+
+// playRegions cuts all regions from one another.
+func playRegions(ctx context.Context, r *run, found *FaultResult) error {
+	if r.opt.Regions < 2 {
+		return errors.New("there is one region only")
+	}
+	blocked := map[string][]string{}
+	for _, from := range r.plan.zones {
+		for _, to := range r.plan.zones {
+			if from.Region != to.Region {
+				blocked[from.Zone] = append(blocked[from.Zone], to.Zone)
+			}
+		}
+	}
+	found.Members = r.opt.Members - r.opt.Real
+	found.Played = fmt.Sprintf("%d regions are apart for %v", r.opt.Regions, regionsCutFor)
+	return r.cutFor(ctx, blocked, regionsCutFor, found)
+}
--- /dev/null
+++ b/internal/scale/fault_pause.go
@@ -0,0 +1,73 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"syscall"
+	"time"
+)
+
+// shuffledHosts are the hosts without a replica, in an order that the seed gives.
+func (r *run) shuffledHosts() []*hostProcess {
+	list := append([]*hostProcess(nil), r.hosts[r.opt.Control:]...)
+	r.rng.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list
+}
+
+// hostsOfShare are the first of a list of hosts that together have a share of the fleet's members, one at the least.
+func (r *run) hostsOfShare(list []*hostProcess, share float64) []*hostProcess {
+	want := int(math.Round(share * float64(r.opt.Members)))
+	members := 0
+	for i, h := range list {
+		if members += len(h.plan.members); members >= want {
+			return list[:i+1]
+		}
+	}
+	return list
+}
+
+func membersOf(hosts []*hostProcess) (members int) {
+	for _, h := range hosts {
+		members += len(h.plan.members)
+	}
+	return members
+}
+
+// stopHosts lets hosts stand still for a while.
+func stopHosts(ctx context.Context, hosts []*hostProcess, stand time.Duration) error {
+	for _, h := range hosts {
+		if err := h.signal(syscall.SIGSTOP); err != nil {
+			return err
+		}
+	}
+	pause(ctx, stand)
+	for _, h := range hosts {
+		if err := h.signal(syscall.SIGCONT); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// playPause lets a share of all hosts stand still together for a moment: long enough for their members to be suspected.
+func playPause(ctx context.Context, r *run, found *FaultResult) error {
+	hosts := r.hostsOfShare(r.shuffledHosts(), r.opt.PauseShare)
+	found.Members = membersOf(hosts)
+	found.Played = fmt.Sprintf("%d hosts with %d members stand still together for %d ms", len(hosts), found.Members, r.opt.PauseMillis)
+	return stopHosts(ctx, hosts, time.Duration(r.opt.PauseMillis)*time.Millisecond)
+}
+
+// stopFor is how long the stop fault stops a host.
+const stopFor = 10 * time.Second
+
+// playStop lets one host stand still for longer than its members are waited for.
+func playStop(ctx context.Context, r *run, found *FaultResult) error {
+	hosts := r.shuffledHosts()
+	if len(hosts) == 0 {
+		return errNoHosts
+	}
+	found.Members = membersOf(hosts[:1])
+	found.Played = fmt.Sprintf("%s with %d members stands still for %v", hosts[0].plan.name, found.Members, stopFor)
+	return stopHosts(ctx, hosts[:1], stopFor)
+}
--- /dev/null
+++ b/internal/scale/primary.go
@@ -0,0 +1,84 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"time"
+)
+
+// rejoinWithin is how long a control replica that is started again may take to be known and to hear of all.
+const rejoinWithin = 30 * time.Second
+
+// leader is the host of the control replica that leads.
+func (r *run) leader(ctx context.Context) (*hostProcess, error) {
+	within, cancel := context.WithTimeout(ctx, initWithin)
+	defer cancel()
+	for {
+		if s, err := r.client.Status(); err == nil && s.Leads {
+			for _, h := range r.hosts[:r.opt.Control] {
+				if h.plan.members[0].Name == s.Keeper {
+					return h, nil
+				}
+			}
+		}
+		if !pause(within, lookInterval) {
+			return nil, fmt.Errorf("scale: no control replica leads")
+		}
+	}
+}
+
+// playPrimaryChanges kills the leading replica, drains a database at once, and measures from the kill until the drain is in force at every
+// live member. With one replica there is nobody to take over, and nothing is measured.
+func (r *run) playPrimaryChanges(ctx context.Context, result *Result) error {
+	if r.opt.Control == 1 {
+		return nil
+	}
+	for range r.opt.PrimaryChanges {
+		seconds, err := r.primaryChange(ctx)
+		if err != nil {
+			return err
+		}
+		result.PrimaryChange.Each = append(result.PrimaryChange.Each, seconds)
+		result.PrimaryChange.Max = max(result.PrimaryChange.Max, seconds)
+	}
+	return nil
+}
+
+// primaryChange plays one kill and starts the killed replica again from its disk.
+func (r *run) primaryChange(ctx context.Context) (seconds float64, err error) {
+	leader, err := r.leader(ctx)
+	if err != nil {
+		return 0, err
+	}
+	killed := time.Now()
+	leader.kill()
+	c, err := r.drain(ctx)
+	if err != nil {
+		return 0, err
+	}
+	r.changes.made = append(r.changes.made, c)
+	if seconds = c.last().Sub(killed).Seconds(); c.lost() {
+		seconds = time.Since(killed).Seconds() // at least so long
+	}
+	r.note("%s killed: a drain accepted after it is in force after %.2f s", leader.plan.name, seconds)
+	if err := leader.start(); err != nil {
+		return 0, err
+	}
+	r.awaitHost(ctx, leader)
+	return seconds, r.undrain(ctx, c)
+}
+
+// awaitHost waits until the members of a host that was started again are known and hear of all.
+func (r *run) awaitHost(ctx context.Context, h *hostProcess) bool {
+	within, cancel := context.WithTimeout(ctx, rejoinWithin)
+	defer cancel()
+	for {
+		if report, ok := h.latest(); ok && report.Known == len(h.plan.members) && report.HeardLeast >= r.opt.Members {
+			return true
+		}
+		if !pause(within, lookInterval) {
+			r.note("%s is not back after %v", h.plan.name, rejoinWithin)
+			return false
+		}
+	}
+}
--- /dev/null
+++ b/internal/scale/real.go
@@ -0,0 +1,153 @@
+package scale
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"beechcart/internal/drill"
+	"beechcart/internal/fleet"
+	"beechcart/internal/standin/changelog"
+	"beechcart/internal/standin/engine"
+)
+
+// stands are stand-ins of the databases, all in this process, and the change log that lists them. Real front ends probe them.
+type stands struct {
+	log     *changelog.Log
+	engines []*engine.Engine
+}
+
+// startStands starts a stand-in for each database and lists them all.
+func startStands(engines []HollowEngine) (*stands, error) {
+	s := &stands{}
+	var err error
+	if s.log, err = changelog.Start("127.0.0.1:0"); err != nil {
+		return nil, fmt.Errorf("scale: %w", err)
+	}
+	var list []changelog.Endpoint
+	for _, e := range engines {
+		stand, err := engine.Start("127.0.0.1:0", engine.Options{Name: e.Name, Cores: int(e.Cores), Sessions: 64})
+		if err != nil {
+			s.close()
+			return nil, fmt.Errorf("scale: %w", err)
+		}
+		s.engines = append(s.engines, stand)
+		list = append(list, changelog.Endpoint{Name: e.Name, Address: stand.Addr, Zone: e.Zone, Type: "std-4", Status: "ready"})
+	}
+	s.log.Tell(true, list...)
+	return s, nil
+}
+
+func (s *stands) close() {
+	for _, e := range s.engines {
+		e.Kill()
+	}
+	s.log.Close()
+}
+
+// realFront is a beechcart process, and what its log has said of drains.
+type realFront struct {
+	name  string
+	front *drill.Front
+
+	mu      sync.Mutex
+	inForce map[string]time.Time // by database: since when it is excluded; absent: it is not
+	lifted  map[string]int       // how often it came back
+}
+
+// take follows one line of the front end's log.
+func (f *realFront) take(line string) {
+	listed, ok := drill.ParseListed(line)
+	if !ok {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	_, was := f.inForce[listed.Name]
+	switch excluded := listed.State != "ready"; {
+	case excluded && !was:
+		f.inForce[listed.Name] = listed.At
+	case !excluded && was:
+		delete(f.inForce, listed.Name)
+		f.lifted[listed.Name]++
+	}
+}
+
+// since tells since when a drain is in force at the front end.
+func (f *realFront) since(engine string) (time.Time, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	at, ok := f.inForce[engine]
+	return at, ok
+}
+
+// fleetSettings is the fleet's part of the operators' settings, in the names of internal/operators.
+type fleetSettings struct {
+	Gossip   string            `json:"gossip"`
+	Zone     string            `json:"room"`
+	Revision string            `json:"revision"`
+	Weight   int               `json:"weight"`
+	KeyFile  string            `json:"key_file"`
+	Replicas []replicaSettings `json:"keepers"`
+}
+
+type replicaSettings struct {
+	Name   string `json:"name"`
+	Log    string `json:"log"`
+	Ask    string `json:"ask"`
+	Gossip string `json:"gossip"`
+}
+
+func settingsOf(m plannedMember, replicas []fleet.Address, keyFile string) (string, error) {
+	part := fleetSettings{Gossip: m.Gossip, Zone: m.Zone, Revision: revision, Weight: 100, KeyFile: keyFile}
+	for _, r := range replicas {
+		part.Replicas = append(part.Replicas, replicaSettings(r))
+	}
+	text, err := json.Marshal(struct {
+		Schema int           `json:"schema"`
+		Fleet  fleetSettings `json:"fleet"`
+	}{1, part})
+	if err != nil {
+		return "", fmt.Errorf("scale: %w", err)
+	}
+	return string(text), nil
+}
+
+// startReal starts a beechcart at the member's address and returns once it listens.
+func startReal(o *Options, l *layout, m plannedMember, changeLog, dir string) (*realFront, error) {
+	keyFile := filepath.Join(dir, "key")
+	if err := os.WriteFile(keyFile, []byte(l.key), 0o600); err != nil {
+		return nil, fmt.Errorf("scale: %w", err)
+	}
+	settings, err := settingsOf(m, l.replicas, keyFile)
+	if err != nil {
+		return nil, err
+	}
+	var zones []string
+	for _, z := range l.zones {
+		zones = append(zones, fmt.Sprintf("%q", z.Zone))
+	}
+	facts := strings.Replace(drill.Facts, `"locality":"room-a"`, fmt.Sprintf(`"locality":%q`, m.Zone), 1)
+	facts = strings.Replace(facts, `"zones":["room-a"]`, `"zones":[`+strings.Join(zones, ",")+`]`, 1)
+	f := &realFront{name: m.Name, inForce: map[string]time.Time{}, lifted: map[string]int{}}
+	f.front, err = drill.StartFront(drill.FrontOptions{Program: o.Program, Dir: dir, Name: m.Name, Listen: at(m.host, servePort),
+		ChangeLog: changeLog, MemoryMB: 256, Sockets: 4096, Facts: facts, Settings: settings, Line: f.take})
+	return f, err
+}
+
+// residentBytesOf is what a process holds in memory, from /proc; 0 where it is over.
+func residentBytesOf(pid int) uint64 {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
+	if err != nil {
+		return 0
+	}
+	var size, resident uint64
+	if _, err := fmt.Sscan(string(text), &size, &resident); err != nil {
+		return 0
+	}
+	return resident * uint64(os.Getpagesize())
+}
--- /dev/null
+++ b/internal/scale/result.go
@@ -0,0 +1,144 @@
+package scale
+
+import (
+	"fmt"
+	"time"
+)
+
+// The budgets of a run.
+const (
+	BudgetBytesPerSecond       = 4096     // of a member, sent and received together
+	BudgetCPUShare             = 0.013    // of a core, of a member
+	BudgetHeapBytes            = 64 << 20 // for control, of a front end
+	BudgetInForceSeconds       = 4.0      // until a change is in force everywhere
+	BudgetPrimaryChangeSeconds = 6.0
+)
+
+// InForceOf is the change that in_force_seconds and primary_change_seconds are measured on: nothing carries a configuration to the members
+// yet, and the drain of a database is what is brought to every member now.
+const InForceOf = "engine drain"
+
+// Sizes are what a run was made of.
+type Sizes struct {
+	Members int `json:"members"`
+	Real    int `json:"real"`
+	Hollow  int `json:"hollow"` // the control replicas among them
+	Engines int `json:"engines"`
+	Control int `json:"control"`
+}
+
+// MemberCost is the mean of the hollow members that are no control replicas, in the quiet window. The share of the harness, taken
+// from a host process without members, is taken off.
+type MemberCost struct {
+	SentBytesPerSecond           float64 `json:"sent_bytes_per_second"`
+	ReceivedBytesPerSecond       float64 `json:"received_bytes_per_second"`
+	CPUShare                     float64 `json:"cpu_share"` // of a core
+	HeapBytes                    float64 `json:"heap_bytes"`
+	GossipSentBytesPerSecond     float64 `json:"gossip_sent_bytes_per_second"`
+	GossipReceivedBytesPerSecond float64 `json:"gossip_received_bytes_per_second"`
+	CallsSentBytesPerSecond      float64 `json:"calls_sent_bytes_per_second"`
+	CallsReceivedBytesPerSecond  float64 `json:"calls_received_bytes_per_second"`
+	MessagesPerSecond            float64 `json:"messages_per_second"` // sent
+	ConnectionsPerSecond         float64 `json:"connections_per_second"`
+}
+
+// ControlCost is of the control replica with the highest value, each quantity by itself, in the quiet window.
+type ControlCost struct {
+	CPUShareMax            float64 `json:"cpu_share_max"`
+	ResidentBytesMax       float64 `json:"resident_bytes_max"`
+	LogBytesPerSecond      float64 `json:"log_bytes_per_second"`       // sent and received between replicas
+	CallsBytesPerSecondMax float64 `json:"calls_bytes_per_second_max"` // made and served, sent and received
+	MessagesPerSecondMax   float64 `json:"messages_per_second_max"`    // sent
+}
+
+// Percentiles are over all live members and all changes, in seconds.
+type Percentiles struct {
+	P50 float64 `json:"p50"`
+	P99 float64 `json:"p99"`
+	Max float64 `json:"max"`
+}
+
+// PrimaryChange is the worst of several kills of the leading replica.
+type PrimaryChange struct {
+	Max  float64   `json:"max"` // from the kill until a drain accepted after it is in force at every live member
+	Each []float64 `json:"each"`
+}
+
+// Changes counts drains of databases.
+type Changes struct {
+	Made     int `json:"made"`
+	Lost     int `json:"lost"`     // not in force at every live member within changeWithin
+	Reverted int `json:"reverted"` // members at which one went out of force while it stood
+}
+
+// Formation tells how the fleet came together.
+type Formation struct {
+	Seconds    float64 `json:"seconds"`     // from the first start until all were known and heard of all, or the bound
+	Unknown    int     `json:"unknown"`     // hollow members that the log had not taken by then
+	HeardLeast int     `json:"heard_least"` // members that the member that heard of fewest heard of, at the end of the quiet window
+}
+
+// Machine is what the run took of the machine.
+type Machine struct {
+	Processes     int     `json:"processes"`
+	ResidentBytes uint64  `json:"resident_bytes"` // of all processes, the runner and its stand-ins included
+	CPUCores      float64 `json:"cpu_cores"`      // of all hosts in the quiet window
+}
+
+// Miss is a budget that was not kept.
+type Miss struct {
+	Quantity string  `json:"quantity"`
+	Found    float64 `json:"found"`
+	Allowed  float64 `json:"allowed"`
+}
+
+func (m Miss) String() string {
+	return fmt.Sprintf("%s: found %.6g, allowed is up to %.6g", m.Quantity, m.Found, m.Allowed)
+}
+
+// Result is what a run found.
+type Result struct {
+	Scale         Sizes          `json:"scale"`
+	Seed          uint64         `json:"seed"`
+	Passed        bool           `json:"passed"`
+	PerMember     MemberCost     `json:"per_member"`
+	Control       ControlCost    `json:"control"`
+	InForceOf     string         `json:"in_force_of"`
+	InForce       Percentiles    `json:"in_force_seconds"`
+	PrimaryChange PrimaryChange  `json:"primary_change_seconds"`
+	Changes       Changes        `json:"changes"`
+	Formation     Formation      `json:"formation"`
+	Machine       Machine        `json:"machine"`
+	Faults        []FaultResult  `json:"faults,omitempty"`
+	Missed        []Miss         `json:"missed,omitempty"`
+	At            time.Time      `json:"at"`
+	QuietSeconds  float64        `json:"quiet_seconds"` // that the costs were measured over
+	Harness       HarnessProcess `json:"harness"`
+}
+
+// HarnessProcess is what a host process without members costs.
+type HarnessProcess struct {
+	CPUShare  float64 `json:"cpu_share"`
+	HeapBytes float64 `json:"heap_bytes"`
+}
+
+// judge holds the result against the budgets.
+func (r *Result) judge() {
+	r.Missed = nil
+	hold := func(quantity string, found, allowed float64) {
+		if found > allowed {
+			r.Missed = append(r.Missed, Miss{quantity, found, allowed})
+		}
+	}
+	hold("per_member.sent_and_received_bytes_per_second", r.PerMember.SentBytesPerSecond+r.PerMember.ReceivedBytesPerSecond, BudgetBytesPerSecond)
+	hold("per_member.cpu_share", r.PerMember.CPUShare, BudgetCPUShare)
+	hold("per_member.heap_bytes", r.PerMember.HeapBytes, BudgetHeapBytes)
+	hold("in_force_seconds.max", r.InForce.Max, BudgetInForceSeconds)
+	hold("primary_change_seconds.max", r.PrimaryChange.Max, BudgetPrimaryChangeSeconds)
+	hold("changes.lost", float64(r.Changes.Lost), 0)
+	hold("changes.reverted", float64(r.Changes.Reverted), 0)
+	hold("formation.unknown", float64(r.Formation.Unknown), 0)
+	hold("machine.resident_bytes", float64(r.Machine.ResidentBytes), MostMemory)
+	hold("machine.processes", float64(r.Machine.Processes), MostProcesses)
+	r.Passed = len(r.Missed) == 0
+}
--- /dev/null
+++ b/internal/scale/runner.go
@@ -0,0 +1,304 @@
+package scale
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"beechcart/decision/rollout"
+	"beechcart/internal/fleet"
+)
+
+// The times of a run.
+const (
+	startPace    = 150 * time.Millisecond // between the starts of host processes
+	settleFor    = 5 * time.Second        // from the end of forming to the quiet window
+	lookInterval = 100 * time.Millisecond
+	initWithin   = 20 * time.Second
+)
+
+// run is a running fleet.
+type run struct {
+	opt     Options
+	rng     *rand.Rand
+	dir     string
+	plan    *layout
+	client  *fleet.Client
+	hosts   []*hostProcess // control replicas first
+	idle    *hostProcess   // without members: what the harness costs
+	stands  *stands
+	fronts  []*realFront
+	began   time.Time
+	changes changeLog
+	nextID  int
+}
+
+// Run starts a fleet, measures it, ends it and tells what was found. An error tells that it could not be run.
+func Run(ctx context.Context, o Options) (*Result, error) {
+	if err := o.Check(); err != nil {
+		return nil, err
+	}
+	r := &run{opt: o, rng: rand.New(rand.NewPCG(o.Seed, 1)), began: time.Now()}
+	defer r.close()
+	if err := r.open(); err != nil {
+		return nil, err
+	}
+	result := &Result{Scale: Sizes{Members: o.Members, Real: o.Real, Hollow: o.Members - o.Real, Engines: o.Engines, Control: o.Control},
+		Seed: o.Seed, InForceOf: InForceOf, At: r.began}
+	if err := r.form(ctx, result); err != nil {
+		return nil, err
+	}
+	r.quiet(ctx, result)
+	if err := r.playChanges(ctx); err != nil {
+		return nil, err
+	}
+	if err := r.playPrimaryChanges(ctx, result); err != nil {
+		return nil, err
+	}
+	if err := r.playFaults(ctx, result); err != nil {
+		return nil, err
+	}
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
+	r.changes.summarize(result)
+	result.Machine.ResidentBytes = max(result.Machine.ResidentBytes, r.resident())
+	result.judge()
+	return result, nil
+}
+
+func (r *run) note(format string, a ...any) {
+	if r.opt.Note != nil {
+		r.opt.Note("%6.1f s  %s", time.Since(r.began).Seconds(), fmt.Sprintf(format, a...))
+	}
+}
+
+// open lays the fleet out and starts the stand-ins; no member runs yet.
+func (r *run) open() (err error) {
+	if r.dir, err = os.MkdirTemp("", "beechcart-scale"); err != nil {
+		return fmt.Errorf("scale: %w", err)
+	}
+	if r.plan, err = newLayout(&r.opt, r.dir); err != nil {
+		return err
+	}
+	r.client = fleet.NewClient(&fleet.Options{Keepers: r.plan.replicas, Key: r.plan.key})
+	for _, plan := range r.plan.hosts {
+		r.hosts = append(r.hosts, r.newHost(plan))
+	}
+	r.idle = r.newHost(hostPlan{name: "idle"})
+	if r.opt.Real > 0 {
+		r.stands, err = startStands(r.plan.engines)
+	}
+	return err
+}
+
+func (r *run) newHost(plan hostPlan) *hostProcess {
+	return &hostProcess{plan: plan, config: r.plan.config(plan.members), command: r.opt.HostCommand, dir: r.dir}
+}
+
+// close ends all processes and removes their files.
+func (r *run) close() {
+	for _, f := range r.fronts {
+		_ = f.front.Stop()
+	}
+	ended := make(chan struct{})
+	all := slices.Clone(r.hosts)
+	if r.idle != nil {
+		all = append(all, r.idle)
+	}
+	for _, h := range all {
+		go func() {
+			h.stop()
+			ended <- struct{}{}
+		}()
+	}
+	for range all {
+		<-ended
+	}
+	if r.stands != nil {
+		r.stands.close()
+	}
+	if r.dir != "" {
+		_ = os.RemoveAll(r.dir)
+	}
+}
+
+// form starts the control replicas, lets them begin the log, starts all other members one host after the other, and waits until the
+// log knows all and all hear of all, or the bound is over. A fleet that does not come together is a finding and no error.
+func (r *run) form(ctx context.Context, result *Result) error {
+	for _, h := range append([]*hostProcess{r.idle}, r.hosts[:r.opt.Control]...) {
+		if err := h.start(); err != nil {
+			return err
+		}
+	}
+	if err := r.begin(ctx); err != nil {
+		return err
+	}
+	r.note("the log has begun")
+	for _, h := range r.hosts[r.opt.Control:] {
+		if err := h.start(); err != nil {
+			return err
+		}
+		if !pause(ctx, startPace) {
+			return ctx.Err()
+		}
+	}
+	if err := r.startFronts(); err != nil {
+		return err
+	}
+	r.note("all processes are started")
+	r.awaitFormed(ctx)
+	state := r.look()
+	result.Formation.Seconds = time.Since(r.began).Seconds()
+	result.Formation.Unknown = state.members - state.known
+	r.note("%d of %d hollow members are known; least heard of %d, mean %.1f", state.known, state.members, state.heardLeast, state.heardMean)
+	return r.awaitEngines(ctx)
+}
+
+// begin lets the replicas begin the log, and agrees on budgets that let the run's drains through.
+func (r *run) begin(ctx context.Context) error {
+	within, cancel := context.WithTimeout(ctx, initWithin)
+	defer cancel()
+	for {
+		err := r.client.Init()
+		if err == nil || errors.As(err, new(*fleet.RefusedError)) {
+			break
+		}
+		if !pause(within, lookInterval) {
+			return fmt.Errorf("scale: the control replicas do not begin: %w\n%s", err, r.lastWords())
+		}
+	}
+	settings := rollout.Defaults()
+	settings.Engines = rollout.Budget{Most: 8}
+	if _, err := r.apply(within, rollout.Command{Configure: &settings}); err != nil {
+		return fmt.Errorf("scale: the control replicas agree on nothing: %w\n%s", err, r.lastWords())
+	}
+	return nil
+}
+
+func (r *run) startFronts() error {
+	for _, m := range r.plan.members[r.opt.Members-r.opt.Real:] {
+		dir := filepath.Join(r.dir, m.Name)
+		if err := os.Mkdir(dir, 0o700); err != nil {
+			return fmt.Errorf("scale: %w", err)
+		}
+		f, err := startReal(&r.opt, r.plan, m, r.stands.log.Addr, dir)
+		if err != nil {
+			return err
+		}
+		r.fronts = append(r.fronts, f)
+	}
+	return nil
+}
+
+// awaitFormed waits until all hollow members are known and hear of all, for so long at most.
+func (r *run) awaitFormed(ctx context.Context) bool {
+	within, cancel := context.WithTimeout(ctx, r.opt.FormWithin)
+	defer cancel()
+	for {
+		if s := r.look(); s.known == s.members && s.heardLeast >= r.opt.Members {
+			return true
+		}
+		if !pause(within, lookInterval) {
+			return false
+		}
+	}
+}
+
+// awaitEngines waits until the log has all databases; drains need them.
+func (r *run) awaitEngines(ctx context.Context) error {
+	within, cancel := context.WithTimeout(ctx, r.opt.FormWithin)
+	defer cancel()
+	for {
+		s, err := r.client.Status()
+		if err == nil && s.Leads && len(s.State.Engines) >= r.opt.Engines {
+			r.note("the log has %d members and %d databases; %s leads", len(s.State.Members), len(s.State.Engines), s.Keeper)
+			return nil
+		}
+		if !pause(within, time.Second) {
+			return fmt.Errorf("scale: the log does not get the list of databases: %d of %d (%w)", len(s.State.Engines), r.opt.Engines, err)
+		}
+	}
+}
+
+// quiet measures what the fleet costs while nothing happens.
+func (r *run) quiet(ctx context.Context, result *Result) {
+	pause(ctx, settleFor)
+	from := time.Now()
+	r.note("quiet for %d s", r.opt.Seconds)
+	// The window ends after a report, so that there are two even in the shortest.
+	pause(ctx, time.Duration(r.opt.Seconds)*time.Second+reportMillis*time.Millisecond)
+	to := time.Now()
+	c := r.costsBetween(from, to)
+	result.QuietSeconds = to.Sub(from).Seconds()
+	result.PerMember, result.Control, result.Harness = c.member, c.control, c.harness
+	result.Formation.HeardLeast = r.look().heardLeast
+	result.Machine = Machine{Processes: r.opt.processes(), ResidentBytes: r.resident(), CPUCores: c.cpuCores}
+	r.note("a member sends %.0f B/s, receives %.0f B/s, takes %.4f of a core", c.member.SentBytesPerSecond, c.member.ReceivedBytesPerSecond, c.member.CPUShare)
+}
+
+// resident sums the memory of all processes up.
+func (r *run) resident() uint64 {
+	sum := residentBytesOf(os.Getpid())
+	for _, h := range append([]*hostProcess{r.idle}, r.hosts...) {
+		if pid := h.pid(); pid > 0 {
+			sum += residentBytesOf(pid)
+		}
+	}
+	for _, f := range r.fronts {
+		sum += residentBytesOf(f.front.Pid())
+	}
+	return sum
+}
+
+// apply enters a command, again under the same id until it is answered or ctx is over.
+func (r *run) apply(ctx context.Context, c rollout.Command) (applied, error) {
+	r.nextID++
+	c.ID, c.By = fmt.Sprintf("scale-%d", r.nextID), "scale run"
+	for {
+		sent := time.Now()
+		result, err := r.client.Apply(c)
+		if err == nil && result.Refusal != nil {
+			return applied{}, result.Refusal
+		}
+		if err == nil {
+			return applied{result, sent}, nil
+		}
+		if !pause(ctx, 20*time.Millisecond) {
+			return applied{}, err
+		}
+	}
+}
+
+// applied is what a command was answered with, and when the call was made that was answered: no later than the log accepted it.
+type applied struct {
+	result rollout.Result
+	sent   time.Time
+}
+
+// lastWords is what hosts have written to standard error last, for an error.
+func (r *run) lastWords() (text string) {
+	for _, h := range r.hosts[:r.opt.Control] {
+		if errs, err := os.ReadFile(filepath.Join(r.dir, h.plan.name+".err")); err == nil && len(errs) > 0 {
+			text += h.plan.name + ": " + string(errs[max(0, len(errs)-500):]) + "\n"
+		}
+	}
+	return text
+}
+
+// pause waits; false once ctx is over.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
