Measure what follows a cut from the cut's end, and end drains without losing their times

Cause: a change's times were overwritten while its end was awaited, so all counted as lost; a cut's end was taken after its drain had caught up. Change: collect into another value; the catching up is read from the members' own times after the quiet.

--- a/internal/scale/change.go
+++ b/internal/scale/change.go
@@ -107,9 +107,10 @@
 	if _, err := r.apply(within, rollout.Command{Undrain: &rollout.Holder{Name: c.engine, Engine: true}}); err != nil {
 		return fmt.Errorf("scale: undrain of %s: %w", c.engine, err)
 	}
-	for r.collect(c); len(c.inForce) > 0; r.collect(c) {
+	ended := &change{engine: c.engine}
+	for r.collect(ended); len(ended.inForce) > 0; r.collect(ended) {
 		if !pause(within, lookInterval) {
-			r.note("%s is still drained at %d members", c.engine, len(c.inForce))
+			r.note("%s is still drained at %d members", c.engine, len(ended.inForce))
 			break
 		}
 	}
--- a/internal/scale/fault.go
+++ b/internal/scale/fault.go
@@ -26,6 +26,8 @@
 	DrainLost         bool          `json:"drain_lost"`              // that drain was not in force everywhere within the bound
 	HeldBack          *int          `json:"drain_during_held_back"`  // members without a drain that was made during the trouble, at its end; null: none was made
 	CaughtUpSeconds   *float64      `json:"drain_caught_up_seconds"` // from the trouble's end until that drain was in force everywhere
+
+	during *change // the drain that was made during the trouble
 }
 
 // HeardSample tells of how many members the others hear, at a time after the trouble's end.
@@ -89,6 +91,11 @@
 	c := r.costsBetween(over, over.Add(costAfterFor))
 	found.After, found.AfterCores = c.member, c.cpuCores
 	r.note("a member sends %.0f B/s in the %v after", c.member.SentBytesPerSecond, costAfterFor)
+	if found.during != nil {
+		if err := r.catchUp(ctx, over, &found); err != nil {
+			return found, err
+		}
+	}
 	after, err := r.drain(ctx)
 	if err != nil {
 		return found, err
--- a/internal/scale/fault_cut.go
+++ b/internal/scale/fault_cut.go
@@ -41,12 +41,9 @@
 	if during != nil {
 		r.collect(during)
 		heldBack := during.live - len(during.inForce)
-		found.HeldBack = &heldBack
+		found.HeldBack, found.during = &heldBack, during
 	}
-	if err := r.orderAll(HostOrder{}); err != nil || during == nil {
-		return err
-	}
-	return r.catchUp(ctx, during, time.Now(), found)
+	return r.orderAll(HostOrder{})
 }
 
 // drainThrough enters a drain within a time and does not wait for its effect.
@@ -62,16 +59,14 @@
 	return &change{engine: engine, sent: accepted.sent}, nil
 }
 
-// catchUp waits until a drain that was made during a trouble is in force everywhere, and ends it.
-func (r *run) catchUp(ctx context.Context, during *change, over time.Time, found *FaultResult) error {
-	within, cancel := context.WithTimeout(ctx, changeWithin)
-	defer cancel()
-	for r.collect(during); during.lost(); r.collect(during) {
-		if !pause(within, lookInterval) {
-			break
-		}
-	}
-	if !during.lost() {
+// catchUp tells when a drain that was made during a trouble was in force everywhere after it, and ends the drain. One that is not in
+// force everywhere by now is lost.
+func (r *run) catchUp(ctx context.Context, over time.Time, found *FaultResult) error {
+	during := found.during
+	r.collect(during)
+	if during.lost() {
+		r.changes.made = append(r.changes.made, during)
+	} else {
 		seconds := max(0, during.last().Sub(over).Seconds())
 		found.CaughtUpSeconds = &seconds
 	}
