Run hollow front ends, many to a process, for tests at fleet size

beechctl scale host reads a configuration and orders on standard input and reports counters, cost and drains on standard output.

--- a/cmd/beechctl/main.go
+++ b/cmd/beechctl/main.go
@@ -41,7 +41,7 @@
 		Long:          "beechctl checks settings, shows what front ends believe, and drills them.\nExit codes: 0 yes, 1 no (a rule broken, a file not good), 2 could not run.",
 		SilenceErrors: true, SilenceUsage: true,
 	}
-	root.AddCommand(configCommand(), listCommand(), countersCommand(), drillCommand(), demoCommand(), benchCommand(), fleetCommand())
+	root.AddCommand(configCommand(), listCommand(), countersCommand(), drillCommand(), demoCommand(), benchCommand(), fleetCommand(), scaleCommand())
 	root.SetArgs(args)
 	root.SetOut(out)
 	root.SetErr(errs)
--- /dev/null
+++ b/internal/scale/host_test.go
@@ -0,0 +1,234 @@
+package scale
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"beechcart/decision/rollout"
+	"beechcart/internal/fleet"
+)
+
+const testKey = "0123456789abcdef"
+
+// longWait is more than any step takes on a machine that is starved; no verdict hangs on how much sooner it is done.
+const longWait = 90 * time.Second
+
+// loopbackNet returns the first three numbers of addresses that no other fleet on this machine uses: a port of the last one is
+// held as the mark, until the test ends.
+func loopbackNet(t *testing.T) string {
+	for n := range 200 {
+		base := fmt.Sprintf("127.%d.%d", 20+(os.Getpid()+n)%200, 20+n)
+		if l, err := net.Listen("tcp", base+".254:7000"); err == nil {
+			t.Cleanup(func() { l.Close() })
+			return base
+		}
+	}
+	t.Fatal("no loopback addresses are free")
+	return ""
+}
+
+// testConfig lays out one replica and some hollow front ends, by turns in zones a and b.
+func testConfig(t *testing.T, members int) HostConfig {
+	base := loopbackNet(t)
+	address := func(i, port int) string { return fmt.Sprintf("%s.%d:%d", base, i+1, port) }
+	config := HostConfig{Key: testKey, Revision: "r1", ReportMillis: 50, RequestsASec: 10,
+		Replicas:      []fleet.Address{{Name: "n0", Log: address(0, 7002), Ask: address(0, 7003), Gossip: address(0, 7004)}},
+		Engines:       []HollowEngine{{"e0", "a", 12}, {"e1", "b", 12}, {"e2", "a", 12}, {"e3", "b", 12}},
+		AddressByZone: []ZoneAddresses{{Zone: "a"}, {Zone: "b"}},
+	}
+	for i := range members {
+		zone := &config.AddressByZone[i%2]
+		zone.Hosts = append(zone.Hosts, fmt.Sprintf("%s.%d", base, i+1))
+		config.Members = append(config.Members, HollowMember{Name: fmt.Sprint("n", i), Zone: zone.Zone, Region: "r", Gossip: address(i, 7004)})
+	}
+	if members > 0 {
+		config.Members[0].Dir = filepath.Join(t.TempDir(), "log")
+	}
+	return config
+}
+
+// testHost is a host that runs in the test's process.
+type testHost struct {
+	t       *testing.T
+	in      *io.PipeWriter
+	reports chan HostReport
+	ended   chan error
+}
+
+func startHost(t *testing.T, config HostConfig) *testHost {
+	orderReader, orderWriter := io.Pipe()
+	reportReader, reportWriter := io.Pipe()
+	h := &testHost{t: t, in: orderWriter, reports: make(chan HostReport), ended: make(chan error, 1)}
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		h.ended <- RunHost(ctx, orderReader, reportWriter)
+		reportWriter.Close()
+	}()
+	go func() {
+		defer close(h.reports)
+		for lines := bufio.NewScanner(reportReader); lines.Scan(); {
+			var report HostReport
+			if assert.NoError(t, json.Unmarshal(lines.Bytes(), &report), lines.Text()) {
+				h.reports <- report
+			}
+		}
+	}()
+	t.Cleanup(func() {
+		cancel()
+		for range h.reports {
+		}
+	})
+	h.send(config)
+	return h
+}
+
+func (h *testHost) send(line any) {
+	require.NoError(h.t, json.NewEncoder(h.in).Encode(line))
+}
+
+// await returns the first report that is as wanted.
+func (h *testHost) await(what string, wanted func(HostReport) bool) HostReport {
+	h.t.Helper()
+	late := time.After(longWait)
+	var last HostReport
+	for {
+		select {
+		case report, running := <-h.reports:
+			require.True(h.t, running, "the host has ended before %s", what)
+			if last = report; wanted(report) {
+				return report
+			}
+		case <-late:
+			require.Fail(h.t, "waited in vain", "for %s; last report: %+v", what, last)
+		}
+	}
+}
+
+// end closes the host's input, and returns how it ended.
+func (h *testHost) end() error {
+	require.NoError(h.t, h.in.Close())
+	for range h.reports {
+	}
+	return <-h.ended
+}
+
+// begin begins the fleet's log once its replica answers.
+func begin(t *testing.T, config HostConfig) *fleet.Client {
+	client := fleet.NewClient(&fleet.Options{Keepers: config.Replicas, Key: testKey})
+	require.Eventually(t, func() bool { return client.Init() == nil }, longWait, 20*time.Millisecond)
+	return client
+}
+
+func TestAHostRunsAFleet(t *testing.T) {
+	config := testConfig(t, 11)
+	h := startHost(t, config)
+	client := begin(t, config)
+	report := h.await("all members known and heard", func(r HostReport) bool { return r.Known == 11 && r.HeardLeast == 11 })
+	assert.Equal(t, 11, report.Members)
+	assert.Equal(t, 11, report.HeardMost)
+	assert.InDelta(t, 11, report.HeardMean, 1e-9)
+	for kind, traffic := range map[string]Traffic{"gossip": report.Gossip, "calls": report.Calls, "served": report.Served} {
+		assert.Positive(t, traffic.SentBytes, kind)
+		assert.Positive(t, traffic.ReceivedMessages, kind)
+	}
+	assert.Positive(t, report.CPUSeconds)
+	assert.Positive(t, report.HeapBytes)
+	assert.Positive(t, report.ResidentBytes)
+	assert.Greater(t, report.Goroutines, 11)
+
+	ready := func() bool {
+		status, err := client.Status()
+		serving := 0
+		for _, member := range status.State.Members {
+			if member.Phase == rollout.Serving && !member.Doubted {
+				serving++
+			}
+		}
+		return err == nil && serving == 11 && len(status.State.Engines) == len(config.Engines)
+	}
+	require.Eventually(t, ready, longWait, 50*time.Millisecond)
+	drain := rollout.Command{ID: "drain-e1", Drain: &rollout.Holder{Name: "e1", Engine: true}}
+	var result rollout.Result
+	began := time.Now()
+	require.Eventually(t, func() bool {
+		var err error
+		result, err = client.Apply(drain)
+		return err == nil
+	}, longWait, 100*time.Millisecond)
+	require.Nil(t, result.Refusal)
+	report = h.await("the drain in force at all", func(r HostReport) bool { return len(r.Drains) == 1 && r.Drains[0].InForce == 11 })
+	state := report.Drains[0]
+	assert.Equal(t, "e1", state.Engine)
+	assert.Len(t, state.EachNanos, 11)
+	assert.GreaterOrEqual(t, state.FirstNanos, began.UnixNano())
+	assert.GreaterOrEqual(t, state.LatestNanos, state.FirstNanos)
+	require.NoError(t, h.end())
+}
+
+// A cut between zones holds in one process, and ends with the next order.
+func TestAHostCutsZonesApart(t *testing.T) {
+	config := testConfig(t, 6)
+	h := startHost(t, config)
+	begin(t, config)
+	h.await("all members heard", func(r HostReport) bool { return r.Known == 6 && r.HeardLeast == 6 })
+	h.send(HostOrder{Blocked: map[string][]string{"a": {"b"}, "b": {"a"}}})
+	h.await("each zone by itself", func(r HostReport) bool { return r.HeardLeast == 3 && r.HeardMost == 3 })
+	h.send(HostOrder{})
+	h.await("all members heard again", func(r HostReport) bool { return r.HeardLeast == 6 })
+	h.send(HostOrder{Blocked: map[string][]string{"a": {"nowhere"}}})
+	for range h.reports {
+	}
+	assert.ErrorContains(t, <-h.ended, `blocked: a: found zone "nowhere"`)
+}
+
+func TestAHostWithoutMembersReportsWhatItCosts(t *testing.T) {
+	h := startHost(t, HostConfig{ReportMillis: 10})
+	report := h.await("a report", func(HostReport) bool { return true })
+	assert.Zero(t, report.Members)
+	assert.Zero(t, report.Gossip)
+	assert.Positive(t, report.ResidentBytes)
+	require.NoError(t, h.end())
+}
+
+func TestAHostNamesWhatIsWrong(t *testing.T) {
+	config := testConfig(t, 3)
+	for problem, change := range map[string]func(*HostConfig){
+		"report_millis: found 0":          func(c *HostConfig) { c.ReportMillis = 0 },
+		"requests_a_sec: found -1":        func(c *HostConfig) { c.RequestsASec = -1 },
+		"revision: found none":            func(c *HostConfig) { c.Revision = "" },
+		"members[2]: name: found \"n1\"":  func(c *HostConfig) { c.Members[2].Name = "n1" },
+		"members[1]: zone":                func(c *HostConfig) { c.Members[1].Zone = "" },
+		"members[1]: gossip: found \"x\"": func(c *HostConfig) { c.Members[1].Gossip = "x" },
+		"members[1]: dir":                 func(c *HostConfig) { c.Members[1].Dir = "log" },
+		"members[0]: dir":                 func(c *HostConfig) { c.Members[0].Dir = "" },
+		"engines[0]: name":                func(c *HostConfig) { c.Engines[0].Name = "" },
+		"engines[3]: cores: found -1":     func(c *HostConfig) { c.Engines[3].Cores = -1 },
+		"address_by_zone[1]: hosts[0]":    func(c *HostConfig) { c.AddressByZone[1].Hosts[0] = "here" },
+		"key: found 3 bytes":              func(c *HostConfig) { c.Key = "abc" },
+	} {
+		text, err := json.Marshal(config)
+		require.NoError(t, err)
+		var changed HostConfig
+		require.NoError(t, json.Unmarshal(text, &changed))
+		change(&changed)
+		text, err = json.Marshal(changed)
+		require.NoError(t, err)
+		never, end := io.Pipe() // the input stays open
+		defer end.Close()
+		var out bytes.Buffer
+		assert.ErrorContains(t, RunHost(context.Background(), io.MultiReader(bytes.NewReader(text), never), &out), problem)
+	}
+	assert.ErrorContains(t, RunHost(context.Background(), bytes.NewBufferString(`{"memebrs":[]}`), io.Discard), "memebrs")
+}
