Test that wires count and cut, and that a host's fleet outlives cuts of its leader

Datagrams are held to exact byte counts; a cut is held to in each direction for open and new connections and for calls. A host's fleet of three replicas gets another leader when the leader is cut off in both directions and in either one alone.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -46,6 +46,9 @@
 		"keepers[1]: name":   func(o *Options) { o.Keepers = append(o.Keepers, o.Keepers[0], o.Keepers[0]) },
 		"gossip":             func(o *Options) { o.Gossip = "" },
 		"dir":                func(o *Options) { o.Dir = "" },
+		"wire": func(o *Options) {
+			o.Wire, o.Routes = NewWire("127.0.0.1"), map[string]string{"127.0.0.1:1": "127.0.0.1:2"}
+		},
 	} {
 		o := options(t)
 		require.NoError(t, o.Check())
--- /dev/null
+++ b/internal/fleet/wire_test.go
@@ -0,0 +1,287 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/memberlist"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"beechcart/decision/rollout"
+)
+
+// longWait is more than any step takes on a machine that is starved; no verdict hangs on how much sooner it is done.
+const longWait = 60 * time.Second
+
+// wiredOptions are those of n members, each with a wire and a loopback address of its own. The first keeps the log.
+func wiredOptions(t *testing.T, n int) []*Options {
+	base := ""
+	for i := 0; base == ""; i++ {
+		require.Less(t, i, 200, "no loopback addresses are free")
+		candidate := fmt.Sprintf("127.%d.%d", 20+(os.Getpid()+i)%200, 20+i)
+		if l, err := net.Listen("tcp", candidate+".254:7000"); err == nil { // the mark that test fleets of this machine use
+			t.Cleanup(func() { l.Close() })
+			base = candidate
+		}
+	}
+	first := options(t)
+	var all []*Options
+	for i := range n {
+		o, host := *first, fmt.Sprintf("%s.%d", base, i+1)
+		o.Name, o.Gossip, o.Wire = fmt.Sprint("n", i), host+":7004", NewWire(host)
+		o.Keepers = []Address{{Name: "n0", Log: base + ".1:7002", Ask: base + ".1:7003", Gossip: base + ".1:7004"}}
+		if i > 0 {
+			o.Dir = ""
+		}
+		all = append(all, &o)
+	}
+	return all
+}
+
+func hostOf(o *Options) string {
+	host, _, _ := net.SplitHostPort(o.Gossip)
+	return host
+}
+
+func blockEachOther(a, b *Options) {
+	a.Wire.Block(HostSet{hostOf(b): true})
+	b.Wire.Block(HostSet{hostOf(a): true})
+}
+
+// connect opens a connection from one member to another, and returns both ends.
+func connect(t *testing.T, from, to *Options) (dialled, accepted net.Conn) {
+	l, err := to.listenTCP(hostOf(to)+":0", logTraffic)
+	require.NoError(t, err)
+	defer l.Close()
+	dialled, err = from.dialTCP(l.Addr().String(), longWait, logTraffic)
+	require.NoError(t, err)
+	accepted, err = l.Accept()
+	require.NoError(t, err)
+	t.Cleanup(func() { dialled.Close(); accepted.Close() })
+	return dialled, accepted
+}
+
+func readText(t *testing.T, c net.Conn, want string) {
+	b := make([]byte, len(want))
+	require.NoError(t, c.SetReadDeadline(time.Now().Add(longWait)))
+	_, err := io.ReadFull(c, b)
+	require.NoError(t, err)
+	assert.Equal(t, want, string(b))
+}
+
+func writeText(t *testing.T, c net.Conn, text string) {
+	_, err := c.Write([]byte(text))
+	require.NoError(t, err)
+}
+
+func wiredTransportOf(t *testing.T, o *Options) *wiredTransport {
+	inner, err := memberlist.NewNetTransport(&memberlist.NetTransportConfig{BindAddrs: []string{hostOf(o)}, BindPort: 7004})
+	require.NoError(t, err)
+	transport := newWiredTransport(inner, o.Wire)
+	t.Cleanup(func() { _ = transport.Shutdown() })
+	return transport
+}
+
+func TestDatagramsAreCountedExactlyAndCut(t *testing.T) {
+	pair := wiredOptions(t, 2)
+	sender, receiver := wiredTransportOf(t, pair[0]), wiredTransportOf(t, pair[1])
+	sendTo := func(size int) {
+		_, err := sender.WriteTo(make([]byte, size), pair[1].Gossip)
+		require.NoError(t, err)
+	}
+	receive := func() int {
+		select {
+		case packet := <-receiver.PacketCh():
+			return len(packet.Buf)
+		case <-time.After(longWait):
+			require.Fail(t, "nothing arrives")
+			return 0
+		}
+	}
+	bytes := 0
+	for size := 1; size <= 1400; size += 100 {
+		sendTo(size)
+		require.Equal(t, size, receive())
+		bytes += size + 28
+	}
+	want := Traffic{SentBytes: uint64(bytes), SentMessages: 14}
+	assert.Equal(t, want, pair[0].Wire.Gossip())
+	assert.Equal(t, Traffic{ReceivedBytes: uint64(bytes), ReceivedMessages: 14}, pair[1].Wire.Gossip())
+
+	pair[0].Wire.Block(HostSet{hostOf(pair[1]): true})
+	sendTo(700)
+	assert.Equal(t, want, pair[0].Wire.Gossip(), "what is cut is not sent")
+	pair[0].Wire.Block(nil)
+	sendTo(7)
+	assert.Equal(t, 7, receive(), "the one before was lost")
+}
+
+// A cut holds for connections that are open, in the direction that is blocked only, and ends without loss.
+func TestACutHoldsForOpenConnections(t *testing.T) {
+	pair := wiredOptions(t, 2)
+	dialled, accepted := connect(t, pair[0], pair[1])
+	for _, ends := range []struct {
+		from, to net.Conn
+		cut      *Options
+		peer     *Options
+	}{{dialled, accepted, pair[0], pair[1]}, {accepted, dialled, pair[1], pair[0]}} {
+		writeText(t, ends.from, "before")
+		readText(t, ends.to, "before")
+		ends.cut.Wire.Block(HostSet{hostOf(ends.peer): true})
+		require.NoError(t, ends.from.SetWriteDeadline(time.Now().Add(30*time.Millisecond)))
+		_, err := ends.from.Write([]byte("lost"))
+		assert.ErrorIs(t, err, os.ErrDeadlineExceeded)
+		writeText(t, ends.to, "the other way")
+		readText(t, ends.from, "the other way")
+		require.NoError(t, ends.from.SetWriteDeadline(time.Time{}))
+		ends.cut.Wire.Block(nil)
+		writeText(t, ends.from, "after")
+		readText(t, ends.to, "after")
+	}
+
+	pair[0].Wire.Block(HostSet{hostOf(pair[1]): true})
+	waiting := make(chan error, 1)
+	go func() {
+		_, err := dialled.Write([]byte("never"))
+		waiting <- err
+	}()
+	dialled.Close()
+	assert.Error(t, <-waiting, "closing ends a write that waits")
+}
+
+func TestACutHoldsForNewConnections(t *testing.T) {
+	pair := wiredOptions(t, 2)
+	l, err := pair[1].listenTCP(hostOf(pair[1])+":0", callTraffic)
+	require.NoError(t, err)
+	defer l.Close()
+
+	pair[0].Wire.Block(HostSet{hostOf(pair[1]): true})
+	_, err = pair[0].dialTCP(l.Addr().String(), 30*time.Millisecond, callTraffic)
+	assert.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	var timeout net.Error
+	require.ErrorAs(t, err, &timeout)
+	assert.True(t, timeout.Timeout(), "as from a host that does not answer")
+	assert.Zero(t, pair[0].Wire.Calls().Connections)
+	pair[0].Wire.Block(nil)
+
+	// The other end's first segment arrives, and the answer to it is cut.
+	pair[1].Wire.Block(HostSet{hostOf(pair[0]): true})
+	dialled, err := pair[0].dialTCP(l.Addr().String(), longWait, callTraffic)
+	require.NoError(t, err)
+	defer dialled.Close()
+	accepted, err := l.Accept()
+	require.NoError(t, err)
+	defer accepted.Close()
+	writeText(t, dialled, "early")
+	require.NoError(t, accepted.SetReadDeadline(time.Now().Add(30*time.Millisecond)))
+	_, err = accepted.Read(make([]byte, 8))
+	assert.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	pair[1].Wire.Block(nil)
+	readText(t, accepted, "early")
+}
+
+// Both ends of a stream count the same payload.
+func TestStreamsAreCountedAtBothEnds(t *testing.T) {
+	pair := wiredOptions(t, 2)
+	dialled, accepted := connect(t, pair[0], pair[1])
+	writeText(t, dialled, "0123456789")
+	readText(t, accepted, "0123456789")
+	assert.Equal(t, Traffic{SentBytes: 100 + 10 + 40, ReceivedBytes: 100, SentMessages: 1, Connections: 1}, pair[0].Wire.Log())
+	assert.Equal(t, Traffic{SentBytes: 100, ReceivedBytes: 100 + 10 + 40, ReceivedMessages: 1}, pair[1].Wire.Log())
+	assert.Equal(t, 0, streamHeaders(0))
+	assert.Equal(t, 40, streamHeaders(segmentPayload))
+	assert.Equal(t, 80, streamHeaders(segmentPayload+1))
+}
+
+func TestCallsAreCountedAndCut(t *testing.T) {
+	pair := wiredOptions(t, 2)
+	replica, err := OpenKeeper(pair[0])
+	require.NoError(t, err)
+	defer replica.Close()
+	require.NoError(t, call(pair[1], pair[0].Keepers[0].Ask, "/status", nil, nil))
+	calls, served := pair[1].Wire.Calls(), pair[0].Wire.Served()
+	assert.Equal(t, uint64(1), calls.Connections)
+	payload := func(bytes, messages uint64) uint64 { return bytes - messages*segmentHeader }
+	assert.Equal(t, payload(calls.SentBytes, calls.SentMessages), payload(served.ReceivedBytes, served.ReceivedMessages))
+	assert.Equal(t, payload(served.SentBytes, served.SentMessages), payload(calls.ReceivedBytes, calls.ReceivedMessages))
+
+	tryOnce := func(wait time.Duration) error {
+		ctx, cancel := context.WithTimeout(context.Background(), wait)
+		defer cancel()
+		request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+pair[0].Keepers[0].Ask+"/status", nil)
+		require.NoError(t, err)
+		response, err := pair[1].httpClient().Do(request)
+		if err != nil {
+			return err
+		}
+		return response.Body.Close()
+	}
+	pair[1].Wire.Block(HostSet{hostOf(pair[0]): true})
+	assert.Error(t, tryOnce(50*time.Millisecond), "the call is cut")
+	pair[1].Wire.Block(nil)
+	pair[0].Wire.Block(HostSet{hostOf(pair[1]): true})
+	assert.Error(t, tryOnce(50*time.Millisecond), "the answer is cut")
+	pair[0].Wire.Block(nil)
+	assert.NoError(t, tryOnce(longWait))
+}
+
+// Members lose one another under a cut and hear of one another after it; what they send arrives.
+func TestMembersUnderACut(t *testing.T) {
+	pair := wiredOptions(t, 2)
+	var members []*Member
+	for _, o := range pair {
+		m, err := Join(*o, idleFront{})
+		require.NoError(t, err)
+		defer m.Close(0)
+		members = append(members, m)
+	}
+	require.Eventually(t, func() bool { return NewClient(pair[1]).Init() == nil }, longWait, 20*time.Millisecond)
+	hear := func(n int) func() bool {
+		return func() bool { return members[0].Heard() == n && members[1].Heard() == n }
+	}
+	require.Eventually(t, hear(2), longWait, 10*time.Millisecond)
+	for _, m := range members {
+		select {
+		case <-m.Known():
+		case <-time.After(longWait):
+			require.Fail(t, "the log does not take the process")
+		}
+	}
+	blockEachOther(pair[0], pair[1])
+	require.Eventually(t, hear(1), longWait, 10*time.Millisecond)
+	for _, o := range pair {
+		o.Wire.Block(nil)
+	}
+	require.Eventually(t, hear(2), longWait, 10*time.Millisecond)
+	// What is under way, and what a full buffer has lost, is the difference.
+	require.Eventually(t, func() bool {
+		sent, received := uint64(0), uint64(0)
+		for _, o := range pair {
+			gossip := o.Wire.Gossip()
+			sent, received = sent+gossip.SentMessages, received+gossip.ReceivedMessages
+		}
+		return sent > 20 && max(sent, received)-min(sent, received) <= sent/10
+	}, longWait, 10*time.Millisecond)
+}
+
+func TestMembersWithoutAWireShareTheClient(t *testing.T) {
+	o := options(t)
+	assert.Same(t, client, o.httpClient())
+	o.Wire = NewWire("127.0.0.1")
+	assert.NotSame(t, client, o.httpClient())
+}
+
+// idleFront is a front end without engines or requests.
+type idleFront struct{}
+
+func (idleFront) Veto(map[string]bool)      {}
+func (idleFront) Idle(string) bool          { return true }
+func (idleFront) Engines() []rollout.Engine { return nil }
+func (idleFront) Counted() rollout.Count    { return rollout.Count{} }
--- a/internal/scale/host_test.go
+++ b/internal/scale/host_test.go
@@ -193,6 +193,64 @@
 	assert.ErrorContains(t, <-h.ended, `blocked: a: found zone "nowhere"`)
 }
 
+// A leader that is cut off, also in one direction only, is followed by another one, and the fleet is whole again after the cut.
+func TestAHostCutsALeaderOff(t *testing.T) {
+	config := testConfig(t, 3)
+	dir := t.TempDir()
+	config.Replicas, config.AddressByZone = nil, nil
+	for i := range config.Members {
+		member := &config.Members[i]
+		address, _, err := net.SplitHostPort(member.Gossip)
+		require.NoError(t, err)
+		member.Zone, member.Dir = fmt.Sprint("z", i), filepath.Join(dir, member.Name)
+		config.Replicas = append(config.Replicas, fleet.Address{Name: member.Name, Log: address + ":7002", Ask: address + ":7003", Gossip: member.Gossip})
+		config.AddressByZone = append(config.AddressByZone, ZoneAddresses{Zone: member.Zone, Hosts: []string{address}})
+	}
+	h := startHost(t, config)
+	client := begin(t, config)
+	drained := make(chan struct{})
+	defer close(drained)
+	h.await("all members known and heard", func(r HostReport) bool { return r.Known == 3 && r.HeardLeast == 3 && r.Log.SentBytes > 0 })
+	go func() {
+		for range h.reports { // the host waits for whoever reads
+			select {
+			case <-drained:
+				return
+			default:
+			}
+		}
+	}()
+	leader := func() string {
+		for _, replica := range config.Replicas {
+			if status, err := client.StatusOf(replica.Name); err == nil && status.Leads && len(status.Servers) == 3 {
+				return replica.Name
+			}
+		}
+		return ""
+	}
+	for _, blocked := range []func(leader, b, c string) map[string][]string{
+		func(leader, b, c string) map[string][]string {
+			return map[string][]string{leader: {b, c}, b: {leader}, c: {leader}}
+		},
+		func(leader, b, c string) map[string][]string { return map[string][]string{leader: {b, c}} },
+		func(leader, b, c string) map[string][]string { return map[string][]string{b: {leader}, c: {leader}} },
+	} {
+		was := ""
+		require.Eventually(t, func() bool { was = leader(); return was != "" }, longWait, 50*time.Millisecond)
+		zones := map[string]string{}
+		var others []string
+		for _, member := range config.Members {
+			zones[member.Name] = member.Zone
+			if member.Name != was {
+				others = append(others, member.Zone)
+			}
+		}
+		h.send(HostOrder{Blocked: blocked(zones[was], others[0], others[1])})
+		require.Eventually(t, func() bool { now := leader(); return now != "" && now != was }, longWait, 50*time.Millisecond)
+		h.send(HostOrder{})
+	}
+}
+
 func TestAHostWithoutMembersReportsWhatItCosts(t *testing.T) {
 	h := startHost(t, HostConfig{ReportMillis: 10})
 	report := h.await("a report", func(HostReport) bool { return true })
