--- a/cmd/beechctl/scale.go
+++ b/cmd/beechctl/scale.go
@@ -6,12 +6,6 @@
 	"beechcart/internal/scale"
 )
 
-func scaleCommand() *cobra.Command {
-	root := &cobra.Command{Use: "scale", Short: "Run a fleet at planning size on this machine", Args: cobra.NoArgs}
-	root.AddCommand(scaleHostCommand())
-	return root
-}
-
 // scaleHostCommand is what the runner starts, many times over; it is of no use by hand.
 func scaleHostCommand() *cobra.Command {
 	return &cobra.Command{
