Test a small fleet, and sizes that are refused

Cause: the runner had no test. Change: 60 members in test hosts; no verdict hangs on times. Refusals, rates, lost and reverted changes by themselves.

--- /dev/null
+++ b/cmd/beechctl/scale_test.go
@@ -0,0 +1,21 @@
+package main
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+func TestScaleRefusesWhatDoesNotFit(t *testing.T) {
+	for option, args := range map[string][]string{
+		"--members: found 1001, allowed is 1 to 1000":   {"--members", "1001"},
+		"--control: found 2, allowed is 1, 3, 5 or 7":   {"--control", "2"},
+		"--per-host: found 3, allowed is what needs at": {"--per-host", "3"},
+		"--faults: found flood, allowed is none, all":   {"--faults", "pause,flood"},
+	} {
+		code, out, errs := ctl(append([]string{"scale", "--real", "0"}, args...)...)
+		assert.Equal(t, exitFailed, code)
+		assert.Empty(t, out)
+		assert.Contains(t, errs, option)
+	}
+}
--- a/internal/scale/change.go
+++ b/internal/scale/change.go
@@ -10,10 +10,8 @@
 	"beechcart/decision/rollout"
 )
 
-const (
-	changeWithin = 15 * time.Second // a drain that is not in force at every live member by then is lost
-	changeStands = 2 * time.Second  // how long a drain that is in force everywhere is watched for going out of force
-)
+// changeStands is how long a drain that is in force everywhere is watched for going out of force.
+const changeStands = 2 * time.Second
 
 // change is one drain of a database, as the members had it in force.
 type change struct {
@@ -80,7 +78,7 @@
 func (r *run) drain(ctx context.Context) (*change, error) {
 	engine := engineName(r.changes.nextEngine % r.opt.Engines)
 	r.changes.nextEngine++
-	within, cancel := context.WithTimeout(ctx, changeWithin)
+	within, cancel := context.WithTimeout(ctx, r.opt.ChangeWithin)
 	defer cancel()
 	accepted, err := r.apply(within, rollout.Command{Drain: &rollout.Holder{Name: engine, Engine: true}})
 	if err != nil {
@@ -102,7 +100,7 @@
 
 // undrain ends a drain and waits until it is out of force at all hosts.
 func (r *run) undrain(ctx context.Context, c *change) error {
-	within, cancel := context.WithTimeout(ctx, changeWithin)
+	within, cancel := context.WithTimeout(ctx, r.opt.ChangeWithin)
 	defer cancel()
 	if _, err := r.apply(within, rollout.Command{Undrain: &rollout.Holder{Name: c.engine, Engine: true}}); err != nil {
 		return fmt.Errorf("scale: undrain of %s: %w", c.engine, err)
--- a/internal/scale/options.go
+++ b/internal/scale/options.go
@@ -42,9 +42,10 @@
 	Seconds int // of the quiet window
 	Seed    uint64
 
-	Changes        int // drains of an engine that are measured
-	PrimaryChanges int // kills of the leading replica that are measured
-	FormWithin     time.Duration
+	Changes        int           // drains of an engine that are measured
+	PrimaryChanges int           // kills of the leading replica that are measured
+	FormWithin     time.Duration // bounds each step of coming together
+	ChangeWithin   time.Duration // a drain that is not in force at every live member by then is lost
 	Faults         []string
 	PauseShare     float64 // of the host processes that the pause fault stops
 	PauseMillis    int
@@ -57,7 +58,7 @@
 // Defaults are the options of a run at planning size.
 func Defaults() Options {
 	return Options{Members: 710, Engines: 810, Real: 4, Control: 5, Zones: 7, Regions: 2, PerHost: 15, Seconds: 60, Changes: 5,
-		PrimaryChanges: 2, FormWithin: 90 * time.Second, PauseShare: 0.1, PauseMillis: 1500}
+		PrimaryChanges: 2, FormWithin: 90 * time.Second, ChangeWithin: 15 * time.Second, PauseShare: 0.1, PauseMillis: 1500}
 }
 
 // SizeError tells which option does not fit, and its bound.
@@ -89,6 +90,8 @@
 		return &SizeError{"members", fmt.Sprint(o.Members), fmt.Sprintf("at least %d: %d real front ends and %d control replicas are among them", o.Real+o.Control, o.Real, o.Control)}
 	case !(o.PauseShare > 0 && o.PauseShare <= 1):
 		return &SizeError{"pause-share", fmt.Sprint(o.PauseShare), "more than 0, up to 1"}
+	case o.FormWithin <= 0 || o.ChangeWithin <= 0:
+		return &SizeError{"form-within and --change-within", fmt.Sprint(o.FormWithin, " and ", o.ChangeWithin), "more than 0"}
 	case o.processes() > MostProcesses:
 		return &SizeError{"per-host", fmt.Sprint(o.PerHost), fmt.Sprintf("what needs at most %d processes; this needs %d", MostProcesses, o.processes())}
 	case o.memory() > MostMemory:
--- a/internal/scale/primary.go
+++ b/internal/scale/primary.go
@@ -11,7 +11,7 @@
 
 // leader is the host of the control replica that leads.
 func (r *run) leader(ctx context.Context) (*hostProcess, error) {
-	within, cancel := context.WithTimeout(ctx, initWithin)
+	within, cancel := context.WithTimeout(ctx, r.opt.FormWithin)
 	defer cancel()
 	for {
 		if s, err := r.client.Status(); err == nil && s.Leads {
--- a/internal/scale/result.go
+++ b/internal/scale/result.go
@@ -67,7 +67,7 @@
 // Changes counts drains of databases.
 type Changes struct {
 	Made     int `json:"made"`
-	Lost     int `json:"lost"`     // not in force at every live member within changeWithin
+	Lost     int `json:"lost"`     // not in force at every live member within Options.ChangeWithin
 	Reverted int `json:"reverted"` // members at which one went out of force while it stood
 }
 
--- a/internal/scale/runner.go
+++ b/internal/scale/runner.go
@@ -19,7 +19,6 @@
 	startPace    = 150 * time.Millisecond // between the starts of host processes
 	settleFor    = 5 * time.Second        // from the end of forming to the quiet window
 	lookInterval = 100 * time.Millisecond
-	initWithin   = 20 * time.Second
 )
 
 // run is a running fleet.
@@ -162,7 +161,7 @@
 
 // begin lets the replicas begin the log, and agrees on budgets that let the run's drains through.
 func (r *run) begin(ctx context.Context) error {
-	within, cancel := context.WithTimeout(ctx, initWithin)
+	within, cancel := context.WithTimeout(ctx, r.opt.FormWithin)
 	defer cancel()
 	for {
 		err := r.client.Init()
--- /dev/null
+++ b/internal/scale/runner_test.go
@@ -0,0 +1,154 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"beechcart/internal/testprogram"
+)
+
+// hostVariable lets the test program run as a host, in place of its tests.
+const hostVariable = "BEECHCART_SCALE_HOST"
+
+// program is a debug build of the front end.
+var program string
+
+func TestMain(m *testing.M) {
+	if os.Getenv(hostVariable) == "" {
+		testprogram.Main(m, &program, "-tags", "debug")
+	}
+	if err := RunHost(context.Background(), os.Stdin, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	os.Exit(0)
+}
+
+// testOptions are a small fleet whose bounds are no matter of the machine's speed.
+func testOptions(t *testing.T) Options {
+	o := Defaults()
+	o.Members, o.Engines, o.Real, o.Control, o.Zones, o.PerHost, o.Seconds = 60, 40, 1, 3, 5, 15, 2
+	o.Changes, o.PrimaryChanges, o.FormWithin, o.ChangeWithin = 2, 1, longWait, longWait
+	o.Seed, o.Program, o.HostCommand = rand.Uint64N(1_000_000), program, []string{os.Args[0]}
+	o.Note = t.Logf
+	return o
+}
+
+// The short form: a fleet comes together, drains reach every live member and stay, also when the leading replica is killed. How long that
+// takes, and whether it is in the budgets, is measured by hand ('beechctl scale').
+func TestASmallFleetHasEveryChangeInForce(t *testing.T) {
+	t.Setenv(hostVariable, "1")
+	o := testOptions(t)
+	r, err := Run(context.Background(), o)
+	require.NoError(t, err, "seed %d", o.Seed)
+	assert.Zero(t, r.Formation.Unknown, "seed %d: all are known", o.Seed)
+	assert.Equal(t, Changes{Made: 3}, r.Changes, "seed %d: none lost or reverted", o.Seed)
+	assert.Len(t, r.PrimaryChange.Each, 1)
+	assert.Positive(t, r.PrimaryChange.Max)
+	assert.Positive(t, r.InForce.P50)
+	assert.GreaterOrEqual(t, r.InForce.Max, r.InForce.P50)
+	assert.Equal(t, Sizes{Members: 60, Real: 1, Hollow: 59, Engines: 40, Control: 3}, r.Scale)
+	assert.Equal(t, o.processes(), r.Machine.Processes)
+	for name, figure := range map[string]float64{"gossip sent": r.PerMember.GossipSentBytesPerSecond, "gossip received": r.PerMember.GossipReceivedBytesPerSecond,
+		"calls sent": r.PerMember.CallsSentBytesPerSecond, "calls received": r.PerMember.CallsReceivedBytesPerSecond, "CPU": r.Machine.CPUCores,
+		"replica's CPU": r.Control.CPUShareMax, "replica's memory": r.Control.ResidentBytesMax, "log": r.Control.LogBytesPerSecond,
+		"replica's calls": r.Control.CallsBytesPerSecondMax} {
+		assert.Positive(t, figure, name)
+	}
+	for _, s := range r.Samples(1) {
+		assert.NotEmpty(t, s.Role, s.Quantity)
+	}
+}
+
+func TestSizesThatDoNotFitAreRefusedByName(t *testing.T) {
+	for option, spoil := range map[string]func(*Options){
+		"members":  func(o *Options) { o.Members = 1001 },
+		"real":     func(o *Options) { o.Real = 21 },
+		"control":  func(o *Options) { o.Control = 4 },
+		"regions":  func(o *Options) { o.Regions = 8 },
+		"per-host": func(o *Options) { o.PerHost = 2 },
+		"seconds":  func(o *Options) { o.Seconds = 0 },
+		"faults":   func(o *Options) { o.Faults = []string{"flood"} },
+		"pause-share": func(o *Options) {
+			o.PauseShare = 1.5
+		},
+		"beechcart": func(o *Options) { o.Program = "" },
+	} {
+		o := Defaults()
+		o.Program, o.HostCommand = "beechcart", []string{"host"}
+		require.NoError(t, o.Check())
+		spoil(&o)
+		_, err := Run(context.Background(), o)
+		var refused *SizeError
+		require.ErrorAs(t, err, &refused, option)
+		assert.Equal(t, option, refused.Option)
+		assert.NotEmpty(t, refused.Allowed)
+	}
+	o := Defaults()
+	o.Program, o.HostCommand, o.Members, o.Control = "beechcart", []string{"host"}, 6, 5
+	assert.ErrorContains(t, o.Check(), "at least 9")
+}
+
+// Guards against a run that takes a member without the change for one that has it.
+func TestAChangeIsLostWithoutOneMemberAndRevertedByOne(t *testing.T) {
+	began := time.Unix(1000, 0)
+	reports := func(nanos ...int64) *hostProcess {
+		plan := hostPlan{members: make([]HollowMember, 2)}
+		return &hostProcess{plan: plan, process: &os.Process{}, reports: []HostReport{{Drains: []DrainState{{Engine: "e0", EachNanos: nanos}}}}}
+	}
+	at := func(millis int) int64 { return began.Add(time.Duration(millis) * time.Millisecond).UnixNano() }
+	r := &run{hosts: []*hostProcess{reports(at(10), at(30)), reports(at(20))}}
+	c := &change{engine: "e0", sent: began}
+	r.collect(c)
+	assert.True(t, c.lost())
+	assert.Equal(t, 4, c.live)
+
+	r.hosts[1] = reports(at(20), at(40))
+	r.collect(c)
+	assert.False(t, c.lost())
+	assert.Zero(t, r.reverted(c))
+	changes := changeLog{made: []*change{c}}
+	var result Result
+	changes.summarize(&result)
+	assert.Equal(t, Changes{Made: 1}, result.Changes)
+	assert.InDelta(t, 0.04, result.InForce.Max, 0.001)
+
+	r.hosts[1] = reports(at(20), at(500))
+	assert.Equal(t, 1, r.reverted(c), "it went out of force and came back")
+	r.hosts[1] = reports(at(20))
+	assert.Equal(t, 1, r.reverted(c))
+}
+
+func TestRatesAreDifferencesOverTheReports(t *testing.T) {
+	first := HostReport{UnixNanos: 1e9, Gossip: Traffic{SentBytes: 100, SentMessages: 1}, CPUSeconds: 1, HeapBytes: 10}
+	last := HostReport{UnixNanos: 3e9, Gossip: Traffic{SentBytes: 500, SentMessages: 5}, CPUSeconds: 1.5, HeapBytes: 20, Members: 3}
+	_, ok := ratesOf([]HostReport{first})
+	assert.False(t, ok)
+	got, ok := ratesOf([]HostReport{first, last})
+	require.True(t, ok)
+	assert.InDelta(t, 200, got.gossip.sent, 1e-9)
+	assert.InDelta(t, 2, got.gossip.messages, 1e-9)
+	assert.InDelta(t, 0.25, got.cpu, 1e-9)
+	assert.InDelta(t, 15, got.heap, 1e-9)
+}
+
+func TestABudgetThatIsMissedIsNamed(t *testing.T) {
+	r := Result{PerMember: MemberCost{SentBytesPerSecond: 2500, ReceivedBytesPerSecond: 2000}, InForce: Percentiles{Max: 3.9}}
+	r.judge()
+	assert.False(t, r.Passed)
+	require.Len(t, r.Missed, 1)
+	assert.Contains(t, r.Missed[0].String(), "sent_and_received_bytes_per_second: found 4500, allowed is up to 4096")
+	r.PerMember.ReceivedBytesPerSecond = 1000
+	r.judge()
+	assert.True(t, r.Passed)
+	r.Changes.Lost = 1
+	r.judge()
+	assert.False(t, r.Passed)
+}
