--- a/cmd/beechctl/scale_run.go
+++ b/cmd/beechctl/scale_run.go
@@ -5,9 +5,6 @@
 	"fmt"
 	"io"
 	"os"
-	"os/exec"
-	"runtime"
-	"slices"
 	"strings"
 	"time"
 
@@ -15,17 +12,14 @@
 
 	"beechcart/internal/drill"
 	"beechcart/internal/scale"
-	"beechcart/internal/scale/record"
 )
 
-// recordDir is where recordings of scale runs are kept.
-const recordDir = "bench/scale"
-
 // scaleRun is what the commands that run a fleet take.
 type scaleRun struct {
 	options scale.Options
 	faults  string
 	record  string
+	add     bool // to a recording that is there
 	notes   []string
 	json    bool
 	verbose bool
@@ -65,6 +59,7 @@
 	f.DurationVar(&o.ChangeWithin, "change-within", o.ChangeWithin, "a drain that is not in force everywhere by then is lost")
 	f.Uint64Var(&o.Seed, "seed", 0, "seed of the faults; none: drawn now")
 	f.StringVar(&s.record, "record", "", "save the measurements to "+recordDir+"/NAME.json")
+	f.BoolVar(&s.add, "append", false, "add to the samples of a recording that is there, in place of replacing it")
 	f.StringArrayVar(&s.notes, "note", nil, "a line that the recording carries")
 	f.BoolVarP(&s.verbose, "verbose", "v", false, "tell what is done on standard error")
 	programFlag(c, &o.Program)
@@ -115,7 +110,7 @@
 	if err != nil {
 		return err
 	}
-	if err := s.save(result.Samples(1), result.At); err != nil {
+	if _, err := s.save(result.Samples(1), result.At); err != nil {
 		return err
 	}
 	if result.Passed {
@@ -128,22 +123,6 @@
 	return noError{errors.Join(missed...)}
 }
 
-// save writes a recording where one was asked for.
-func (s *scaleRun) save(samples []record.Sample, began time.Time) error {
-	if s.record == "" {
-		return nil
-	}
-	commit := ""
-	if text, err := exec.Command("git", "rev-parse", "--short=12", "HEAD").Output(); err == nil {
-		commit = strings.TrimSpace(string(text))
-	}
-	notes := slices.Concat([]string{"per member: hollow members that are no control replicas; the share of a host process without members is taken off",
-		"in force is measured on drains of databases: nothing carries a configuration yet"}, s.notes)
-	r := record.Recording{Name: s.record, Command: "beechctl " + strings.Join(os.Args[1:], " "), At: began.UTC().Truncate(time.Second), Commit: commit,
-		Cores: runtime.NumCPU(), Notes: notes, Samples: samples}
-	return r.Save(recordDir)
-}
-
 // writeScale prints a result as a table.
 func writeScale(w io.Writer, r *scale.Result) error {
 	figures := map[string]float64{}
@@ -158,7 +137,7 @@
 	s := &scaleRun{options: scale.Defaults()}
 	s.options.Seconds = 15
 	var sizes []int
-	var repeats int
+	repeats := scale.Repeats{First: 1}
 	c := &cobra.Command{
 		Use: "sweep", Short: "Run several sizes and tell what each quantity grows with", Args: cobra.NoArgs,
 		Example: "  beechctl scale sweep --sizes 50,100,200,400,710 --repeats 3 --seconds 15 --record sweep",
@@ -171,21 +150,26 @@
 				fmt.Fprintf(c.ErrOrStderr(), "%d members: %.0f B/s sent, %.0f B/s received, %.4f of a core a member; formed in %.1f s, %d unknown\n",
 					r.Scale.Members, r.PerMember.SentBytesPerSecond, r.PerMember.ReceivedBytesPerSecond, r.PerMember.CPUShare, r.Formation.Seconds, r.Formation.Unknown)
 			})
-			if len(samples) == 0 {
+			if len(samples) == 0 || failed != nil && c.Context().Err() != nil {
 				return failed
 			}
+			if failed != nil {
+				s.notes = append(s.notes, "partial: "+failed.Error())
+			}
+			samples, err := s.save(samples, began)
+			if err != nil {
+				return errors.Join(failed, err)
+			}
 			fits, err := scale.Fits(samples)
 			if err == nil {
 				err = scale.WriteFits(c.OutOrStdout(), fits)
 			}
-			if failed != nil {
-				s.notes = append(s.notes, "partial: "+failed.Error())
-			}
-			return errors.Join(failed, err, s.save(samples, began))
+			return errors.Join(failed, err)
 		},
 	}
 	s.flags(c)
 	c.Flags().IntSliceVar(&sizes, "sizes", []int{50, 100, 200, 400, 710}, "front ends; databases are scaled from 810 to 710 front ends")
-	c.Flags().IntVar(&repeats, "repeats", 3, "runs of each size")
+	c.Flags().IntVar(&repeats.Last, "repeats", 3, "runs of each size")
+	c.Flags().IntVar(&repeats.First, "first-repeat", 1, "the number of the first run of each size; with --append for a sweep in parts")
 	return c
 }
--- a/internal/scale/process.go
+++ b/internal/scale/process.go
@@ -184,12 +184,6 @@
 	}
 }
 
-// restart kills the process and starts another with the same members.
-func (h *hostProcess) restart() error {
-	h.kill()
-	return h.start()
-}
-
 // pid is the id of the process; 0 where there is none.
 func (h *hostProcess) pid() int {
 	h.mu.Lock()
--- a/internal/scale/sweep.go
+++ b/internal/scale/sweep.go
@@ -22,12 +22,15 @@
 	return max(1, int(math.Round(float64(members)*planningEngines/planningMembers)))
 }
 
-// Sweep runs sizes, each several times, and calls done after each run. Runs that have ended are returned also with an error.
-func Sweep(ctx context.Context, base Options, sizes []int, repeats int, done func(*Result)) (samples []record.Sample, err error) {
-	for repeat := 1; repeat <= repeats; repeat++ {
+// Repeats are the numbers of a sweep's rounds over all sizes, first to last.
+type Repeats struct{ First, Last int }
+
+// Sweep runs all sizes in each repeat, and calls done after each run. Samples of runs that have ended are returned also with an error.
+func Sweep(ctx context.Context, base Options, sizes []int, repeats Repeats, done func(*Result)) (samples []record.Sample, err error) {
+	for repeat := repeats.First; repeat <= repeats.Last; repeat++ {
 		for _, members := range sizes {
 			o := base
-			o.Members, o.Engines, o.Seed = members, EnginesFor(members), base.Seed+uint64(repeat-1)
+			o.Members, o.Engines, o.Seed = members, EnginesFor(members), base.Seed+uint64(repeat)
 			result, err := Run(ctx, o)
 			if err != nil {
 				return samples, fmt.Errorf("%d members, repeat %d: %w", members, repeat, err)
