Hold a level line against each size, not against the mean of all

Cause: under Constant all sizes share one value of the variable, so their values were averaged together and every quantity had a residual of 0. Change: residual and spread are taken by size. A growing quantity does not fit a level line any more; tested. Measured: go test ./internal/scale/record passes.

--- a/internal/scale/record/fit.go
+++ b/internal/scale/record/fit.go
@@ -92,7 +92,7 @@
 	f := Fit{Law: law, Samples: len(samples), SlopeLow: math.Inf(1), SlopeHigh: math.Inf(-1)}
 	var all []point
 	byRepeat := map[int][]point{}
-	bySize := map[float64][]float64{}
+	bySize := map[Size]*sizeValues{}
 	for _, s := range samples {
 		x, err := law.variable(s.Size)
 		if err != nil {
@@ -101,7 +101,10 @@
 		p := point{x, s.Value}
 		all = append(all, p)
 		byRepeat[s.Repeat] = append(byRepeat[s.Repeat], p)
-		bySize[x] = append(bySize[x], s.Value)
+		if bySize[s.Size] == nil {
+			bySize[s.Size] = &sizeValues{x: x}
+		}
+		bySize[s.Size].values = append(bySize[s.Size].values, s.Value)
 		f.Largest = math.Max(f.Largest, x)
 	}
 	f.Intercept, f.Slope = line(all)
@@ -114,13 +117,20 @@
 	return f, nil
 }
 
+// sizeValues are the repeats at one size, where a law's variable is x. Sizes are kept apart also where they share it, as they do
+// under Constant: the line is held against each.
+type sizeValues struct {
+	x      float64
+	values []float64
+}
+
 // deviations tells how far the means of the sizes lie from a line, and how far the repeats of a size lie apart.
-func deviations(bySize map[float64][]float64, intercept, slope float64) (residual, spread float64) {
+func deviations(bySize map[Size]*sizeValues, intercept, slope float64) (residual, spread float64) {
 	var top float64
-	for x, values := range bySize {
-		mean, least, greatest := summary(values)
+	for _, size := range bySize {
+		mean, least, greatest := summary(size.values)
 		top = math.Max(top, math.Abs(mean))
-		residual = math.Max(residual, math.Abs(mean-intercept-slope*x))
+		residual = math.Max(residual, math.Abs(mean-intercept-slope*size.x))
 		if mean != 0 {
 			spread = math.Max(spread, (greatest-least)/math.Abs(mean))
 		}
--- a/internal/scale/record/record_test.go
+++ b/internal/scale/record/record_test.go
@@ -47,6 +47,10 @@
 	require.NoError(t, err)
 	assert.InDelta(t, 7, f.Intercept, 1e-9)
 	assert.Zero(t, f.Slope)
+	f, err = FitLine(samplesOf(func(s Size, _ int) float64 { return float64(s.Members) }), Constant)
+	require.NoError(t, err)
+	assert.False(t, f.Fits(), "a quantity that grows is not level; residual %.3f", f.Residual)
+	assert.Equal(t, 5, f.Sizes)
 	_, err = FitLine(nil, Constant)
 	assert.Error(t, err)
 }
