--- a/internal/scale/fault.go
+++ b/internal/scale/fault.go
@@ -36,6 +36,7 @@
 	Least   int     `json:"least"`
 	Mean    float64 `json:"mean"`
 	Known   int     `json:"known"`
+	Silent  int     `json:"silent_hosts"` // that have not reported since the trouble's end, and are not in the other figures
 }
 
 // fault is one kind of trouble: play lets it begin and end, and tells what was done. All is well again but for what the fleet itself has
@@ -111,8 +112,10 @@
 	for time.Since(over) < quietWithin {
 		now := time.Now()
 		state := r.lookSince(over)
-		found.Heard = append(found.Heard, HeardSample{now.Sub(over).Seconds(), state.heardLeast, state.heardMean, state.known})
-		if state.known < state.members || state.heardLeast < r.opt.Members {
+		if state.silent < len(r.hosts) {
+			found.Heard = append(found.Heard, HeardSample{now.Sub(over).Seconds(), state.heardLeast, state.heardMean, state.known, state.silent})
+		}
+		if !state.whole(r.opt.Members) {
 			unquiet = now
 		}
 		if now.Sub(unquiet) >= quietFor {
@@ -125,6 +128,7 @@
 			return
 		}
 	}
-	last := found.Heard[len(found.Heard)-1]
-	r.note("not quiet after %v: least heard of %d, mean %.1f, known %d", quietWithin, last.Least, last.Mean, last.Known)
+	last := r.lookSince(over)
+	r.note("not quiet after %v: least heard of %d, mean %.1f, known %d of %d, %d hosts silent", quietWithin, last.heardLeast, last.heardMean,
+		last.known, last.members, last.silent)
 }
--- a/internal/scale/measure.go
+++ b/internal/scale/measure.go
@@ -103,29 +103,36 @@
 
 // fleetState is what the last reports of all hosts tell together.
 type fleetState struct {
-	known, members int // of running hosts
-	heardLeast     int
+	members, known int // known by the log, as hosts that have reported tell
+	silent         int // hosts that have not reported
+	heardLeast     int // among members of hosts that have reported
 	heardMean      float64
 }
 
+// whole tells whether all hosts have reported, all members are known, and all hear of all.
+func (s fleetState) whole(members int) bool {
+	return s.silent == 0 && s.known == s.members && s.heardLeast >= members
+}
+
 // look sums the last reports up.
 func (r *run) look() fleetState { return r.lookSince(time.Time{}) }
 
-// lookSince sums up the last reports that were made after a time. Members of hosts that have made none since are counted as not known, and
-// as hearing of nobody.
+// lookSince sums up the last reports that were made after a time.
 func (r *run) lookSince(after time.Time) fleetState {
 	s := fleetState{heardLeast: r.opt.Members}
+	reported := 0
 	for _, h := range r.hosts {
 		s.members += len(h.plan.members)
 		report, ok := h.latest()
 		if !ok || (!after.IsZero() && report.UnixNanos < after.UnixNano()) {
-			s.heardLeast = 0
+			s.silent++
 			continue
 		}
+		reported += report.Members
 		s.known += report.Known
 		s.heardLeast = min(s.heardLeast, report.HeardLeast)
 		s.heardMean += report.HeardMean * float64(report.Members)
 	}
-	s.heardMean /= float64(max(s.members, 1))
+	s.heardMean /= float64(max(reported, 1))
 	return s
 }
--- a/internal/scale/quantities.go
+++ b/internal/scale/quantities.go
@@ -62,9 +62,7 @@
 	prefix := r.faultPrefix(f)
 	least := r.Scale.Members
 	for _, h := range f.Heard {
-		if h.Known > 0 { // hosts that have not reported since count as hearing of nobody
-			least = min(least, h.Least)
-		}
+		least = min(least, h.Least)
 	}
 	add(record.FrontEnd, prefix+"_sent_bytes_per_second", f.After.SentBytesPerSecond)
 	add(record.FrontEnd, prefix+"_received_bytes_per_second", f.After.ReceivedBytesPerSecond)
--- a/internal/scale/runner.go
+++ b/internal/scale/runner.go
@@ -200,7 +200,7 @@
 	within, cancel := context.WithTimeout(ctx, r.opt.FormWithin)
 	defer cancel()
 	for {
-		if s := r.look(); s.known == s.members && s.heardLeast >= r.opt.Members {
+		if r.look().whole(r.opt.Members) {
 			return true
 		}
 		if !pause(within, lookInterval) {
