Render docs/CAPACITY.md from recorded scale runs, and hold page and results together

Cause: the capacity page must say nothing that no recording says. internal/scale/capacity defines each row (recorded quantities, law, mechanism, budget), takes value, slope, spread and residual from bench/scale, and says "not measured" where no recording has the quantity. No recording is there yet: all measured rows are rendered as not measured.

--- /dev/null
+++ b/internal/scale/capacity/capacity_test.go
@@ -0,0 +1,274 @@
+package capacity
+
+import (
+	"math"
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"beechcart/internal/scale/record"
+)
+
+const (
+	pagePath      = "../../../docs/CAPACITY.md"
+	recordingsDir = "../../../bench/scale"
+)
+
+// TestThePageIsWhatTheRecordingsSay holds the page and the recorded results together.
+func TestThePageIsWhatTheRecordingsSay(t *testing.T) {
+	page, err := os.ReadFile(pagePath)
+	require.NoError(t, err)
+	recordings, err := record.Load(recordingsDir)
+	require.NoError(t, err)
+	rendered, err := Render(string(page), recordings)
+	require.NoError(t, err)
+	assert.Equal(t, rendered, string(page), "run: beechctl scale page")
+}
+
+func TestThePageBeginsWithWhatIsMissed(t *testing.T) {
+	page, err := os.ReadFile(pagePath)
+	require.NoError(t, err)
+	lines := strings.Split(string(page), "\n")
+	require.Greater(t, len(lines), 2)
+	assert.True(t, strings.HasPrefix(lines[0], "# "))
+	assert.Equal(t, "<!-- table: "+missedTable+" -->", lines[2])
+}
+
+func TestRowsAreWellFormed(t *testing.T) {
+	name := regexp.MustCompile(`^[a-z][a-z0-9]*(_[a-z0-9]+)+$`)
+	tables := map[string]bool{}
+	for _, table := range Tables(nil) {
+		assert.Regexp(t, `^[a-z_]+$`, table.Name)
+		assert.False(t, tables[table.Name], "table %s is there twice", table.Name)
+		tables[table.Name] = true
+		rows := map[string]bool{}
+		for _, r := range table.Rows {
+			assert.False(t, rows[r.What], "%s: row %q is there twice", table.Name, r.What)
+			rows[r.What] = true
+			assert.NotEmpty(t, r.Mechanism, r.What)
+			assert.NotEmpty(t, r.Unit, r.What)
+			assert.True(t, len(r.Terms) > 0 || r.Absent != "", "%s: row %q has nothing to say", table.Name, r.What)
+			for _, quantity := range r.Quantities() {
+				assert.Regexp(t, name, quantity)
+			}
+			for _, term := range r.Terms {
+				_, err := record.Fit{Law: term.Law}.At(planningSize)
+				assert.True(t, term.Quantity == "" || term.Take == Worst || term.Take == Least || err == nil, "%s: law %q", r.What, term.Law)
+				assert.True(t, term.Law != record.InRate || term.Rate > 0 || term.Take == Slope, "%s: no planning rate", r.What)
+			}
+		}
+	}
+}
+
+// TestARowIsOfTheRoleOfItsTable finds a quantity that was recorded for another role than the one that the page shows it under.
+func TestARowIsOfTheRoleOfItsTable(t *testing.T) {
+	recordings, err := record.Load(recordingsDir)
+	require.NoError(t, err)
+	for _, table := range Tables(recordings) {
+		if table.Role == "" {
+			continue
+		}
+		for _, r := range table.Rows {
+			for _, quantity := range r.Quantities() {
+				for _, s := range record.Select(recordings, quantity) {
+					assert.Equal(t, table.Role, s.Role, "%s: %s", table.Name, quantity)
+				}
+			}
+		}
+	}
+}
+
+// sizes are those of a sweep.
+var sizes = []int{50, 100, 200, 400, planMembers}
+
+func sweep(quantity string, upTo int, value func(members float64) float64) record.Recording {
+	r := record.Recording{Name: "test", Command: "beechctl scale sweep", Cores: 8}
+	for _, members := range sizes {
+		for repeat := 1; repeat <= 3 && members <= upTo; repeat++ {
+			size := record.Size{Members: members, Engines: (members*planEngines + planMembers/2) / planMembers}
+			r.Samples = append(r.Samples, record.Sample{Quantity: quantity, Role: record.FrontEnd, Size: size, Repeat: repeat, Value: value(float64(members))})
+		}
+	}
+	return r
+}
+
+func lineOf(quantity string, budget float64) Row {
+	return Row{What: quantity, Terms: []Term{perMember(quantity)}, Unit: BytesPerSecond, Mechanism: "test", Budget: Budget{Limit: budget}}
+}
+
+func TestALineGivesValueSlopeAndVerdict(t *testing.T) {
+	recordings := []record.Recording{sweep("a_bytes_per_second", planMembers, func(n float64) float64 { return 1000 + 2*n })}
+	row := lineOf("a_bytes_per_second", 1210)
+	f := row.evaluate(recordings)
+	require.True(t, f.Measured)
+	assert.InDelta(t, 2420, f.Value, 1e-6)
+	assert.Empty(t, f.Notes)
+	assert.Equal(t, []string{"test"}, f.Recordings)
+	assert.Equal(t, "missed by a factor of 2", row.judge(f).String())
+	assert.Equal(t, "2 B/s (2 B/s to 2 B/s) a front end; residual 0.0%", row.slope(f))
+	row.Budget.Limit = 4840
+	assert.Equal(t, "within (50% of it)", row.judge(f).String())
+}
+
+func TestTermsAreSummedAndMultiplied(t *testing.T) {
+	recordings := []record.Recording{
+		sweep("a_bytes", planMembers, func(n float64) float64 { return 10 * n }),
+		sweep("b_bytes", planMembers, func(float64) float64 { return 300 }),
+	}
+	row := Row{Unit: BytesPerDay, Terms: []Term{perMember("a_bytes", changesPerDay), level("b_bytes")}}
+	f := row.evaluate(recordings)
+	require.True(t, f.Measured)
+	assert.InDelta(t, 7100*1600+300, f.Value, 1)
+	assert.Equal(t, "`a_bytes` x 1,600 changes of configuration a day + `b_bytes`", row.formula())
+	assert.Contains(t, row.slope(f), "16 KB a day")
+
+	row.Terms = append(row.Terms, level("c_bytes"))
+	f = row.evaluate(recordings)
+	assert.False(t, f.Measured, "a sum that lacks a part is not measured")
+	assert.Equal(t, []string{"c_bytes"}, f.Missing)
+}
+
+func TestALineThatDoesNotFitGivesWhatWasMeasuredAtTheSize(t *testing.T) {
+	square := func(n float64) float64 { return n * n }
+	row := lineOf("a_bytes_per_second", 100)
+	f := row.evaluate([]record.Recording{sweep("a_bytes_per_second", planMembers, square)})
+	require.True(t, f.Measured)
+	assert.InDelta(t, planMembers*planMembers, f.Value, 1e-6)
+	assert.Contains(t, row.value(f), "a line does not fit (residual ")
+	assert.Empty(t, row.slope(f))
+
+	f = row.evaluate([]record.Recording{sweep("a_bytes_per_second", 400, square)})
+	assert.False(t, f.Measured)
+	assert.Equal(t, NotMeasured, row.judge(f).Verdict)
+	assert.Contains(t, row.value(f), "not measured (a line does not fit")
+}
+
+func TestAConstantThatGrowsDoesNotFit(t *testing.T) {
+	row := Row{Unit: Bytes, Terms: []Term{level("a_bytes")}}
+	f := row.evaluate([]record.Recording{sweep("a_bytes", 400, func(n float64) float64 { return n })})
+	assert.False(t, f.Measured)
+	assert.Contains(t, row.value(f), "a line does not fit")
+	f = row.evaluate([]record.Recording{sweep("a_bytes", 400, func(float64) float64 { return 7 })})
+	assert.True(t, f.Measured)
+	assert.InDelta(t, 7, f.Value, 1e-9)
+}
+
+func TestALineBeyondWhatWasMeasuredSaysSo(t *testing.T) {
+	row := lineOf("a_bytes_per_second", 100)
+	f := row.evaluate([]record.Recording{sweep("a_bytes_per_second", 400, func(n float64) float64 { return n })})
+	require.True(t, f.Measured)
+	assert.Contains(t, row.value(f), "extrapolated: measured up to 400, here 710")
+	f = row.evaluate([]record.Recording{sweep("a_bytes_per_second", 100, func(n float64) float64 { return n })})
+	assert.False(t, f.Measured, "two sizes make no line")
+}
+
+func TestTheWorstIsTakenAtThePlanningNumbersOnly(t *testing.T) {
+	row := Row{Unit: Seconds, Terms: worst("a_seconds"), Budget: Budget{Limit: 4}}
+	f := row.evaluate([]record.Recording{sweep("a_seconds", planMembers, func(n float64) float64 { return n / 100 })})
+	assert.Equal(t, "7.1 s (worst of 3)", row.value(f))
+	assert.Equal(t, Missed, row.judge(f).Verdict)
+	f = row.evaluate([]record.Recording{sweep("a_seconds", 400, func(n float64) float64 { return n / 100 })})
+	assert.Equal(t, "not measured (measured up to 400 x 456: 4 s there)", row.value(f))
+}
+
+func TestAtLeastAndNone(t *testing.T) {
+	row := Row{Unit: Count, Terms: []Term{{Quantity: "a_members", Take: Least}}, Budget: Budget{Limit: planMembers, AtLeast: true}}
+	f := row.evaluate([]record.Recording{sweep("a_members", planMembers, func(n float64) float64 { return n })})
+	assert.Equal(t, Within, row.judge(f).Verdict)
+	f = row.evaluate([]record.Recording{sweep("a_members", planMembers, func(float64) float64 { return 0 })})
+	assert.Equal(t, "missed by more than a factor can say", row.judge(f).String())
+}
+
+func TestWhatNeverCameInSomeRunIsAMiss(t *testing.T) {
+	row := Row{Unit: Seconds, Terms: []Term{{Quantity: "a_seconds", Take: Worst, OutOf: "a_members"}}, Budget: Budget{Limit: 60}}
+	runs := sweep("a_members", planMembers, func(n float64) float64 { return n })
+	f := row.evaluate([]record.Recording{runs})
+	assert.Equal(t, "never (never within 3 of 3 runs)", row.value(f))
+	assert.Equal(t, Missed, row.judge(f).Verdict)
+	came := sweep("a_seconds", planMembers, func(float64) float64 { return 5 })
+	f = row.evaluate([]record.Recording{runs, came})
+	assert.Equal(t, "5 s (worst of 3)", row.value(f))
+	assert.Equal(t, Within, row.judge(f).Verdict)
+	came.Samples = came.Samples[:len(came.Samples)-1]
+	f = row.evaluate([]record.Recording{runs, came})
+	assert.Equal(t, "5 s (never within 1 of 3 runs; worst of 2)", row.value(f))
+	assert.Equal(t, Missed, row.judge(f).Verdict)
+	assert.Equal(t, NotMeasured, row.judge(row.evaluate(nil)).Verdict)
+}
+
+func TestABudgetOfNothing(t *testing.T) {
+	row := Row{Unit: Count, Terms: worst("a_count"), Budget: Budget{Source: "operators"}}
+	f := row.evaluate([]record.Recording{sweep("a_count", planMembers, func(float64) float64 { return 0 })})
+	assert.Equal(t, Within, row.judge(f).Verdict)
+	f = row.evaluate([]record.Recording{sweep("a_count", planMembers, func(float64) float64 { return 1 })})
+	assert.Equal(t, Missed, row.judge(f).Verdict)
+}
+
+func TestSharesOfPausedMembersHaveRows(t *testing.T) {
+	recordings := []record.Recording{sweep("storm_share_21_percent_heard_least_members", planMembers, func(float64) float64 { return 9 }),
+		sweep("storm_share_5_percent_heard_least_members", planMembers, func(float64) float64 { return 710 })}
+	rows := stormRows(recordings)
+	require.Len(t, rows, 8)
+	assert.Contains(t, rows[0].What, "5% of the front ends stand still")
+	assert.Contains(t, rows[4].What, "21% of the front ends stand still")
+	assert.Len(t, stormRows(nil), 4)
+}
+
+func TestMissesAreOrderedWithTheImpossibleFirst(t *testing.T) {
+	recordings := []record.Recording{sweep("a_bytes_per_second", planMembers, func(float64) float64 { return 300 })}
+	impossible := Row{What: "impossible", Absent: "nothing carries it"}
+	tables := []Table{{Name: "one", Rows: []Row{lineOf("a_bytes_per_second", 200), lineOf("a_bytes_per_second", 301), lineOf("b_bytes", 1)}},
+		{Name: "two", Rows: []Row{lineOf("a_bytes_per_second", 100), impossible}}}
+	var factors []float64
+	for _, m := range misses(tables, recordings) {
+		factors = append(factors, math.Round(m.judgement.Factor*10)/10)
+	}
+	assert.Equal(t, []float64{math.Inf(1), 3, 1.5}, factors)
+	text := renderMissed(tables, recordings)
+	assert.Contains(t, text, "| 1 | impossible | nothing carries it |")
+	assert.Contains(t, renderNotMeasured(tables, recordings), "no recording has `b_bytes`")
+}
+
+func TestRenderReplacesTablesAndLeavesTextAlone(t *testing.T) {
+	var page strings.Builder
+	for name := range renderTables(nil) {
+		page.WriteString("Before " + name + ".\n<!-- table: " + name + " -->\nold\n<!-- end table -->\nAfter.\n")
+	}
+	rendered, err := Render(page.String(), nil)
+	require.NoError(t, err)
+	assert.NotContains(t, rendered, "old")
+	assert.Equal(t, strings.Count(page.String(), "After."), strings.Count(rendered, "After."))
+	assert.Contains(t, rendered, "not measured")
+	again, err := Render(rendered, nil)
+	require.NoError(t, err)
+	assert.Equal(t, rendered, again)
+
+	_, err = Render(page.String()+"<!-- table: nothing -->\n<!-- end table -->\n", nil)
+	assert.ErrorContains(t, err, "table nothing")
+	_, err = Render(page.String()+page.String(), nil)
+	assert.ErrorContains(t, err, "found twice")
+	_, err = Render("no table at all", nil)
+	assert.ErrorContains(t, err, "not on the page")
+}
+
+// TestARecordedQuantityWithoutARowIsShown guards against a row whose quantity is spelled otherwise than the recording's.
+func TestARecordedQuantityWithoutARowIsShown(t *testing.T) {
+	tables := []Table{{Name: "one", Rows: []Row{lineOf("a_bytes_per_second", 1)}}}
+	recordings := []record.Recording{sweep("a_bytes_a_second", planMembers, func(n float64) float64 { return n })}
+	text := renderOthers(tables, recordings)
+	assert.Contains(t, text, "`a_bytes_a_second` | 710 to 710 | 710 x 810 | 3 | test")
+}
+
+func TestNumbers(t *testing.T) {
+	for want, got := range map[string]string{
+		"0": number(0), "1,234,567": number(1234567), "-1,234": number(-1234), "12.3": number(12.34), "12": number(12), "100": number(99.96),
+		"0.0123": number(0.01234), "1.23": number(1.234), "4,096 B": bytes(4096), "67.1 MB": bytes(64 << 20), "16 KB a day": format(16000, BytesPerDay),
+		"1.3% of a core": format(0.013, Cores), "250 ms": format(0.25, Seconds), "12 µs of a core": format(12e-6, CPUSeconds), "35/s": format(35, PerSecond),
+	} {
+		assert.Equal(t, want, got)
+	}
+}
--- /dev/null
+++ b/internal/scale/capacity/planning.go
@@ -0,0 +1,82 @@
+package capacity
+
+import "beechcart/internal/scale/record"
+
+// The planning numbers, as the operators gave them (issue 29).
+const (
+	planMembers         = 710
+	planEngines         = 810
+	planSessions        = 1_400_000
+	planStatements      = 540_000 // a second
+	planChanges         = 1_600   // of configuration, a day
+	planPrimaryChanges  = 2       // a day
+	planRegions         = 2
+	planZones           = 7
+	planControlMachines = 8
+	planRestarts        = 78 // machines, within an hour
+	secondsPerDay       = 86_400
+	secondsPerHour      = 3_600
+)
+
+// The budgets, as the operators gave them, and one of the project's own.
+const (
+	memberBytesPerSecond = 4_096 // 4 KB, sent and received together: docs/questions.md
+	memberCores          = 0.013
+	memberBytes          = 64 << 20 // 64 MB
+	inForceSeconds       = 4
+	primarySeconds       = 6
+	readySeconds         = 10  // nine in ten restarted processes are ready within it
+	noticeSeconds        = 2.5 // docs/rollout.md: a front end counts as out about 2.5 s after its end
+)
+
+// What follows from the planning numbers, rounded up.
+const (
+	sessionsPerMember   = (planSessions + planMembers - 1) / planMembers
+	statementsPerMember = planStatements / planMembers
+	membersPerZone      = (planMembers + planZones - 1) / planZones
+	enginesPerZone      = (planEngines + planZones - 1) / planZones
+	membersPerRegion    = (planMembers + planRegions - 1) / planRegions
+	rackMembers         = 20 // assumed: docs/questions.md
+)
+
+// planningSize is the size at which rows are evaluated.
+var planningSize = record.Size{Members: planMembers, Engines: planEngines, Sessions: sessionsPerMember}
+
+// The planning numbers that terms are multiplied by.
+var (
+	changesPerDay    = Factor{"changes of configuration a day", planChanges}
+	changesPerSecond = Factor{"changes of configuration a second", planChanges / float64(secondsPerDay)}
+	allMembers       = Factor{"front ends", planMembers}
+	zoneEngines      = Factor{"databases of a zone", enginesPerZone}
+	zoneMembers      = Factor{"front ends of a zone", membersPerZone}
+	regionMembers    = Factor{"front ends of a region", membersPerRegion}
+	rackOfMembers    = Factor{"front ends of a rack", rackMembers}
+	restarts         = Factor{"restarts", planRestarts}
+	aSecondInAnHour  = Factor{"a second, over an hour", 1.0 / secondsPerHour}
+	aSecondInAMinute = Factor{"a second, over a minute", 1.0 / 60}
+	sessions         = Factor{"sessions of a front end", sessionsPerMember}
+)
+
+// planningLines are the lines of the table of planning numbers.
+func planningLines() [][]string {
+	line := func(what string, value float64) []string { return []string{what, number(value)} }
+	return [][]string{
+		line("front ends", planMembers),
+		line("databases", planEngines),
+		line("pairs of a front end and a database", planMembers*planEngines),
+		line("client connections", planSessions),
+		line("client connections of one front end, rounded up", sessionsPerMember),
+		line("statements a second", planStatements),
+		line("statements a second of one front end", statementsPerMember),
+		line("changes of configuration a day", planChanges),
+		line("changes of primary a day", planPrimaryChanges),
+		line("regions", planRegions),
+		line("zones", planZones),
+		line("front ends of a zone, rounded up", membersPerZone),
+		line("databases of a zone, rounded up", enginesPerZone),
+		line("front ends of a region, rounded up", membersPerRegion),
+		line("machines restarted or replaced on an ordinary day", planRestarts),
+		line("machines for control", planControlMachines),
+		line("front ends of a rack (assumed)", rackMembers),
+	}
+}
--- /dev/null
+++ b/internal/scale/capacity/rows_others.go
@@ -0,0 +1,45 @@
+package capacity
+
+import "beechcart/internal/scale/record"
+
+func otherRoleTables() []Table {
+	return []Table{
+		{Name: "database", Role: record.Database, Rows: databaseRows()},
+		{Name: "change_log", Rows: changeLogRows()},
+		{Name: "operator_tool", Role: record.ControlReplica, Rows: operatorRows()},
+	}
+}
+
+func databaseRows() []Row {
+	return []Row{
+		{What: "front ends that a database sees, the mean", Unit: Count, Mechanism: byArc, Terms: one(perMember("front_ends_seen_count"))},
+		{What: "probes at a database", Unit: PerSecond, Mechanism: byArc, Terms: one(perMember("probes_received_per_second"))},
+	}
+}
+
+func changeLogRows() []Row {
+	return []Row{
+		{What: "polls of all front ends at the change log", Unit: PerSecond, Mechanism: byList,
+			Terms: one(level("change_log_idle_polls_per_second", allMembers))},
+		{What: "polls that bring nothing, bytes", Unit: BytesPerSecond, Mechanism: byList,
+			Terms: one(level("change_log_idle_bytes_per_second", allMembers))},
+		{What: "one change at the change log", Unit: Bytes, Mechanism: byList, Terms: one(level("change_log_event_bytes", allMembers))},
+		{What: "all changes at the change log", Unit: BytesPerDay, Mechanism: byList,
+			Terms: one(level("change_log_event_bytes", allMembers, changesPerDay))},
+		{What: "one change at Consul", Unit: Bytes, Mechanism: byList, Terms: one(perEngine("consul_list_bytes", allMembers))},
+		{What: "all changes at Consul", Unit: BytesPerDay, Mechanism: byList, Terms: one(perEngine("consul_list_bytes", allMembers, changesPerDay))},
+		{What: "one change at Consul, spread over the 4 s that it may take", Unit: BytesPerSecond, Mechanism: byList,
+			Terms: one(perEngine("consul_list_bytes", allMembers, Factor{"a second, over 4 s", 1.0 / inForceSeconds}))},
+	}
+}
+
+func operatorRows() []Row {
+	return []Row{
+		{What: "status, nothing under way", Unit: Bytes, Mechanism: byHandler, Terms: one(grows("status_idle_bytes", record.InSum))},
+		{What: "status, a drain and a release under way", Unit: Bytes, Mechanism: byHandler, Terms: one(grows("status_busy_bytes", record.InSum))},
+		{What: "status at the replica, a drain and a release under way", Unit: CPUSeconds, Mechanism: byHandler,
+			Terms: one(grows("status_busy_cpu_seconds", record.InSum))},
+		{What: "one command until its answer, all watching, a drain and a release under way", Unit: Seconds, Mechanism: byLog,
+			Terms: one(perMember("control_command_busy_latency_seconds"))},
+	}
+}
