--- a/internal/scale/capacity/capacity_test.go
+++ b/internal/scale/capacity/capacity_test.go
@@ -109,7 +109,7 @@
 	assert.Empty(t, f.Notes)
 	assert.Equal(t, []string{"test"}, f.Recordings)
 	assert.Equal(t, "missed by a factor of 2", row.judge(f).String())
-	assert.Equal(t, "2 B/s (2 B/s to 2 B/s) a front end; residual 0.0%", row.slope(f))
+	assert.Equal(t, "2 B/s (2 B/s to 2 B/s) a front end; residual 0.0%; 5 sizes, 15 samples", row.slope(f))
 	row.Budget.Limit = 4840
 	assert.Equal(t, "within (50% of it)", row.judge(f).String())
 }
@@ -187,7 +187,7 @@
 	row := Row{Unit: Seconds, Terms: []Term{{Quantity: "a_seconds", Take: Worst, OutOf: "a_members"}}, Budget: Budget{Limit: 60}}
 	runs := sweep("a_members", planMembers, func(n float64) float64 { return n })
 	f := row.evaluate([]record.Recording{runs})
-	assert.Equal(t, "never (never within 3 of 3 runs)", row.value(f))
+	assert.Equal(t, "never (never in 3 of 3 runs)", row.value(f))
 	assert.Equal(t, Missed, row.judge(f).Verdict)
 	came := sweep("a_seconds", planMembers, func(float64) float64 { return 5 })
 	f = row.evaluate([]record.Recording{runs, came})
@@ -195,9 +195,13 @@
 	assert.Equal(t, Within, row.judge(f).Verdict)
 	came.Samples = came.Samples[:len(came.Samples)-1]
 	f = row.evaluate([]record.Recording{runs, came})
-	assert.Equal(t, "5 s (never within 1 of 3 runs; worst of 2)", row.value(f))
+	assert.Equal(t, "5 s (never in 1 of 3 runs; worst of 2)", row.value(f))
 	assert.Equal(t, Missed, row.judge(f).Verdict)
 	assert.Equal(t, NotMeasured, row.judge(row.evaluate(nil)).Verdict)
+
+	f = row.evaluate([]record.Recording{sweep("a_members", 400, func(n float64) float64 { return n })})
+	assert.Equal(t, "not measured (never in 3 of 3 runs at 400 x 456)", row.value(f), "a smaller fleet says nothing certain of a larger one")
+	assert.Equal(t, NotMeasured, row.judge(f).Verdict)
 }
 
 func TestABudgetOfNothing(t *testing.T) {
--- a/internal/scale/capacity/evaluate.go
+++ b/internal/scale/capacity/evaluate.go
@@ -52,15 +52,12 @@
 	if t.Quantity == "" {
 		return Figure{Value: t.factor(), Measured: true, Notes: []string{"arithmetic, not a measurement"}}
 	}
-	samples := record.Select(recordings, t.Quantity)
-	runs := atPlanning(record.Select(recordings, t.OutOf))
+	samples, runs := record.Select(recordings, t.Quantity), record.Select(recordings, t.OutOf)
 	if len(samples) == 0 && len(runs) == 0 {
 		return Figure{Missing: []string{t.Quantity}}
 	}
 	f := Figure{Recordings: recordedIn(recordings, t.Quantity)}
-	if came := len(atPlanning(samples)); came < len(runs) {
-		f.Never = true
-		f.Notes = append(f.Notes, fmt.Sprintf("never within %d of %d runs", len(runs)-came, len(runs)))
+	if f.countNever(samples, runs) {
 		f.Recordings = recordedIn(recordings, t.OutOf)
 	}
 	if len(samples) == 0 {
@@ -76,6 +73,23 @@
 	return f
 }
 
+// countNever notes runs in which what was recorded by samples never came: those at the planning numbers, or at the largest size where there is
+// none. It tells whether there were any.
+func (f *Figure) countNever(samples, runs []record.Sample) bool {
+	all, came, where := atPlanning(runs), atPlanning(samples), ""
+	planning := len(all) > 0
+	if !planning {
+		members, engines := largest(runs)
+		all, came, where = ofSize(runs, members, engines), ofSize(samples, members, engines), fmt.Sprintf(" at %d x %d", members, engines)
+	}
+	if len(came) >= len(all) {
+		return false
+	}
+	f.Never = planning
+	f.Notes = append(f.Notes, fmt.Sprintf("never in %d of %d runs%s", len(all)-len(came), len(all), where))
+	return true
+}
+
 // extreme takes the greatest or the least value that was measured at the planning numbers.
 func (f *Figure) extreme(samples []record.Sample, take Take, unit Unit) {
 	at := atPlanning(samples)
--- a/internal/scale/capacity/format.go
+++ b/internal/scale/capacity/format.go
@@ -18,10 +18,8 @@
 		return trimZeros(strconv.FormatFloat(v, 'f', 1, 64))
 	case size >= 0.9995:
 		return trimZeros(strconv.FormatFloat(v, 'f', 2, 64))
-	case size >= 0.001:
-		return strconv.FormatFloat(v, 'g', 3, 64)
 	}
-	return strconv.FormatFloat(v, 'g', 2, 64)
+	return strconv.FormatFloat(v, 'g', 3, 64)
 }
 
 func trimZeros(text string) string {
--- a/internal/scale/capacity/render.go
+++ b/internal/scale/capacity/render.go
@@ -129,8 +129,8 @@
 			slopes = append(slopes, "level, repeats apart by "+deviation(fit.Spread))
 			continue
 		}
-		slopes = append(slopes, fmt.Sprintf("%s (%s to %s) %s; residual %s", format(fit.Slope, r.Unit), format(fit.SlopeLow, r.Unit),
-			format(fit.SlopeHigh, r.Unit), per(fit.Law), deviation(fit.Residual)))
+		slopes = append(slopes, fmt.Sprintf("%s (%s to %s) %s; residual %s; %d sizes, %d samples", format(fit.Slope, r.Unit),
+			format(fit.SlopeLow, r.Unit), format(fit.SlopeHigh, r.Unit), per(fit.Law), deviation(fit.Residual), fit.Sizes, fit.Samples))
 	}
 	return strings.Join(slopes, "; ")
 }
