--- /dev/null
+++ b/cmd/beechctl/scale_record.go
@@ -0,0 +1,65 @@
+package main
+
+import (
+	"os"
+	"os/exec"
+	"runtime"
+	"slices"
+	"strings"
+	"time"
+
+	"beechcart/internal/scale/record"
+)
+
+// recordDir is where recordings of scale runs are kept.
+const recordDir = "bench/scale"
+
+// save writes a recording where one was asked for, and returns all samples that it holds then.
+func (s *scaleRun) save(samples []record.Sample, began time.Time) ([]record.Sample, error) {
+	if s.record == "" {
+		return samples, nil
+	}
+	notes := slices.Concat([]string{"per member: hollow members that are no control replicas; the share of a host process without members is taken off",
+		"in force is measured on drains of databases: nothing carries a configuration yet"}, s.notes)
+	r := &record.Recording{Name: s.record, Command: "beechctl " + strings.Join(os.Args[1:], " "), At: began.UTC().Truncate(time.Second),
+		Commit: headCommit(), Cores: runtime.NumCPU(), Notes: notes, Samples: samples}
+	if s.add {
+		if err := addSaved(r); err != nil {
+			return nil, err
+		}
+	}
+	return r.Samples, r.Save(recordDir)
+}
+
+// headCommit names the commit of the working directory; empty where there is none.
+func headCommit() string {
+	text, err := exec.Command("git", "rev-parse", "--short=12", "HEAD").Output()
+	if err != nil {
+		return ""
+	}
+	return strings.TrimSpace(string(text))
+}
+
+// addSaved puts the samples of the recording that is saved under the same name, if one is, before its own.
+func addSaved(r *record.Recording) error {
+	saved, err := record.Load(recordDir)
+	if err != nil {
+		return err
+	}
+	for _, old := range saved {
+		if old.Name != r.Name {
+			continue
+		}
+		r.Samples, r.At = append(old.Samples, r.Samples...), old.At
+		r.Command = old.Command + "\n" + r.Command
+		if old.Commit != r.Commit {
+			r.Notes = append(r.Notes, "samples before those of "+r.Commit+" are of commit "+old.Commit)
+		}
+		for _, note := range old.Notes {
+			if !slices.Contains(r.Notes, note) {
+				r.Notes = append(r.Notes, note)
+			}
+		}
+	}
+	return nil
+}
