Call a broken rule of a fault test a violation, and a run without one passed, in Go names

Change: Go identifiers only. The JSON keys, the printed lines and what tests assert are as they were.

--- a/cmd/beechctl/drill.go
+++ b/cmd/beechctl/drill.go
@@ -60,9 +60,9 @@
 			} else {
 				err = r.WriteTable(c.OutOrStdout())
 			}
-			if err == nil && !r.Kept {
-				r.WriteBreaches(c.ErrOrStderr())
-				err = noError{fmt.Errorf("%d breaches", len(r.Breaches))}
+			if err == nil && !r.Passed {
+				r.WriteViolations(c.ErrOrStderr())
+				err = noError{fmt.Errorf("%d breaches", len(r.Violations))}
 			}
 			return err
 		},
--- a/internal/drill/catalogue.go
+++ b/internal/drill/catalogue.go
@@ -43,7 +43,7 @@
 	wrote   map[string]time.Time // when a change of an engine was written to the catalogue
 	seen    *hdrhistogram.Histogram
 	ready   map[string]bool // by what the front end has logged
-	gaps    []Breach
+	gaps    []Violation
 	changes int
 }
 
@@ -326,7 +326,7 @@
 		}
 	}
 	if was > 0 && w.readyCount() == 0 {
-		w.gaps = append(w.gaps, Breach{NoEngine, l.At, "", "the front end has no engine left"})
+		w.gaps = append(w.gaps, Violation{NoEngine, l.At, "", "the front end has no engine left"})
 	}
 }
 
@@ -439,11 +439,11 @@
 	for _, e := range w.dead {
 		runs = append(runs, e.Executions()...)
 	}
-	breaches := append(Check(Classes, requests, runs, func(string) *Drains { return &w.drains }, load.surplus), w.gaps...)
+	violations := append(Check(Classes, requests, runs, func(string) *Drains { return &w.drains }, load.surplus), w.gaps...)
 	if stopped != nil {
-		breaches = append(breaches, Breach{Crashes, time.Now(), "", stopped.Error()})
+		violations = append(violations, Violation{Crashes, time.Now(), "", stopped.Error()})
 	}
-	slices.SortStableFunc(breaches, func(a, b Breach) int { return cmp.Compare(a.At.UnixNano(), b.At.UnixNano()) })
+	slices.SortStableFunc(violations, func(a, b Violation) int { return cmp.Compare(a.At.UnixNano(), b.At.UnixNano()) })
 	for at := began; at.Before(began.Add(time.Duration(o.Seconds) * time.Second)); at = at.Add(time.Second) {
 		if v := Service(Classes, requests, at, at.Add(time.Second)); v < 0.9 {
 			o.note("service %.2f in the second from %s", v, at.Format("15:04:05.000"))
@@ -467,7 +467,7 @@
 	for _, r := range requests {
 		figures[string(r.Outcome)]++
 	}
-	return newReport("catalogue", o.Seed, breaches, figures), nil
+	return newReport("catalogue", o.Seed, violations, figures), nil
 }
 
 // settled waits until the front end has listed all engines.
--- a/internal/drill/checker.go
+++ b/internal/drill/checker.go
@@ -57,8 +57,8 @@
 	return 0, false
 }
 
-// Breach is one broken rule.
-type Breach struct {
+// Violation is one violation of a rule.
+type Violation struct {
 	Rule string    `json:"rule"`
 	At   time.Time `json:"at"`
 	ID   string    `json:"id"`
@@ -90,16 +90,16 @@
 
 // Check holds what clients got against what engines ran. It looks at sockets only: a request is what a client sent, an
 // execution what an engine took in. drains is what the front end that had a request was told, by the request's id.
-func Check(classes []Class, requests []Request, runs []engine.Execution, drains func(id string) *Drains, surplus []string) []Breach {
-	var out []Breach
-	breach := func(rule string, at time.Time, id, format string, args ...any) {
-		out = append(out, Breach{rule, at, id, fmt.Sprintf(format, args...)})
+func Check(classes []Class, requests []Request, runs []engine.Execution, drains func(id string) *Drains, surplus []string) []Violation {
+	var out []Violation
+	violate := func(rule string, at time.Time, id, format string, args ...any) {
+		out = append(out, Violation{rule, at, id, fmt.Sprintf(format, args...)})
 	}
 	byID := map[string][]engine.Execution{}
 	for _, x := range runs {
 		byID[x.ID] = append(byID[x.ID], x)
 		if by, late := drains(x.ID).late(x.Engine, x.Sent); late {
-			breach(LateSends, x.Sent, x.ID, "%s got it %v after the grace", x.Engine, by.Round(time.Millisecond))
+			violate(LateSends, x.Sent, x.ID, "%s got it %v after the grace", x.Engine, by.Round(time.Millisecond))
 		}
 	}
 	for _, r := range requests {
@@ -108,27 +108,27 @@
 		slices.SortFunc(list, func(a, b engine.Execution) int { return cmp.Compare(a.Sent.UnixNano(), b.Sent.UnixNano()) })
 		for i := 1; i < len(list); i++ {
 			if prev := list[i-1]; prev.Ended.IsZero() || prev.Ended.After(list[i].Sent) {
-				breach(TwoOut, list[i].Sent, r.ID, "on %s while it ran on %s", list[i].Engine, prev.Engine)
+				violate(TwoOut, list[i].Sent, r.ID, "on %s while it ran on %s", list[i].Engine, prev.Engine)
 			}
 		}
 		if c.Unsafe && len(list) > 1 {
-			breach(DoubleRuns, list[1].Sent, r.ID, "%s was executed %d times", c.Name, len(list))
+			violate(DoubleRuns, list[1].Sent, r.ID, "%s was executed %d times", c.Name, len(list))
 		}
 		switch {
 		case r.Outcome == Unanswered:
-			breach(UnansweredOne, r.Due, r.ID, "%s after %v: %s", c.Name, r.Latency.Round(time.Millisecond), r.Detail)
+			violate(UnansweredOne, r.Due, r.ID, "%s after %v: %s", c.Name, r.Latency.Round(time.Millisecond), r.Detail)
 		case r.Latency > c.Wait+answerSlack && r.Sent.Sub(r.Due) < answerSlack:
-			breach(UnansweredOne, r.Due, r.ID, "%s %s after %v of %v", c.Name, r.Outcome, r.Latency.Round(time.Millisecond), c.Wait)
+			violate(UnansweredOne, r.Due, r.ID, "%s %s after %v of %v", c.Name, r.Outcome, r.Latency.Round(time.Millisecond), c.Wait)
 		case r.Outcome == Wrong:
-			breach(WrongAnswers, r.Due, r.ID, "%s", r.Detail)
+			violate(WrongAnswers, r.Due, r.ID, "%s", r.Detail)
 		case r.Outcome == Served && !slices.ContainsFunc(list, func(x engine.Execution) bool { return x.Good }):
-			breach(WrongAnswers, r.Due, r.ID, "served, and no engine has ended it well")
+			violate(WrongAnswers, r.Due, r.ID, "served, and no engine has ended it well")
 		case r.Outcome == Refused && c.Unsafe && len(list) > 0:
-			breach(FalsePromises, r.Due, r.ID, "%s was refused and had been executed on %s", c.Name, list[0].Engine)
+			violate(FalsePromises, r.Due, r.ID, "%s was refused and had been executed on %s", c.Name, list[0].Engine)
 		}
 	}
 	for _, s := range surplus {
-		breach(DoubleAnswers, time.Time{}, "", "%s", s)
+		violate(DoubleAnswers, time.Time{}, "", "%s", s)
 	}
 	return out
 }
--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -31,12 +31,12 @@
 
 // Report is how a drill ended.
 type Report struct {
-	Drill    string             `json:"drill"`
-	Seed     uint64             `json:"seed"`
-	Kept     bool               `json:"kept"`
-	Rules    map[string]int     `json:"rules"`
-	Figures  map[string]float64 `json:"figures"`
-	Breaches []Breach           `json:"-"`
+	Drill      string             `json:"drill"`
+	Seed       uint64             `json:"seed"`
+	Passed     bool               `json:"kept"`
+	Rules      map[string]int     `json:"rules"`
+	Figures    map[string]float64 `json:"figures"`
+	Violations []Violation        `json:"-"`
 }
 
 // Drill is one drill.
@@ -79,13 +79,13 @@
 	}
 }
 
-// newReport counts breaches by rule.
-func newReport(drill string, seed uint64, breaches []Breach, figures map[string]float64) *Report {
-	r := &Report{Drill: drill, Seed: seed, Kept: len(breaches) == 0, Rules: map[string]int{}, Figures: figures, Breaches: breaches}
+// newReport counts violations by rule.
+func newReport(drill string, seed uint64, violations []Violation, figures map[string]float64) *Report {
+	r := &Report{Drill: drill, Seed: seed, Passed: len(violations) == 0, Rules: map[string]int{}, Figures: figures, Violations: violations}
 	for _, rule := range Rules {
 		r.Rules[rule] = 0
 	}
-	for _, b := range breaches {
+	for _, b := range violations {
 		r.Rules[b.Rule]++
 	}
 	return r
@@ -98,8 +98,8 @@
 func (r *Report) WriteTable(w io.Writer) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	verdict := "every rule kept"
-	if !r.Kept {
-		verdict = fmt.Sprintf("%d breaches", len(r.Breaches))
+	if !r.Passed {
+		verdict = fmt.Sprintf("%d breaches", len(r.Violations))
 	}
 	fmt.Fprintf(t, "drill %s, seed %d\t%s\n", r.Drill, r.Seed, verdict)
 	for _, rule := range Rules {
@@ -116,11 +116,11 @@
 	return t.Flush()
 }
 
-// WriteBreaches prints the first ten breaches.
-func (r *Report) WriteBreaches(w io.Writer) {
-	for i, b := range r.Breaches {
+// WriteViolations prints the first ten violations.
+func (r *Report) WriteViolations(w io.Writer) {
+	for i, b := range r.Violations {
 		if i == 10 {
-			fmt.Fprintf(w, "... and %d more\n", len(r.Breaches)-10)
+			fmt.Fprintf(w, "... and %d more\n", len(r.Violations)-10)
 			return
 		}
 		fmt.Fprintf(w, "%s %s id=%s %s\n", b.At.Format("15:04:05.000"), b.Rule, b.ID, b.Text)
--- a/internal/drill/drill_test.go
+++ b/internal/drill/drill_test.go
@@ -26,8 +26,8 @@
 	r, err := Catalogue.Run(context.Background(), o)
 	require.NoError(t, err, "seed %d", o.Seed)
 	var b bytes.Buffer
-	r.WriteBreaches(&b)
-	assert.True(t, r.Kept, "seed %d\n%s", o.Seed, b.String())
+	r.WriteViolations(&b)
+	assert.True(t, r.Passed, "seed %d\n%s", o.Seed, b.String())
 	assert.Greater(t, r.Figures["served"], 0.9*r.Figures["requests"], "seed %d", o.Seed)
 
 	b.Reset()
@@ -48,11 +48,11 @@
 func TestNaiveReadingBreaksTheRules(t *testing.T) {
 	r, err := Catalogue.Run(context.Background(), Options{Program: program, Seed: 7, Seconds: 5, Rate: 50, Engines: 6, Faults: "flap-all", Policy: "naive"})
 	require.NoError(t, err)
-	assert.False(t, r.Kept)
+	assert.False(t, r.Passed)
 	assert.Positive(t, r.Rules[NoEngine])
 }
 
-func TestCheckFindsEachBreach(t *testing.T) {
+func TestCheckFindsEachViolation(t *testing.T) {
 	t0 := time.Unix(1000, 0)
 	at := func(ms int) time.Time { return t0.Add(time.Duration(ms) * time.Millisecond) }
 	run := func(on, id string, from, to int) engine.Execution {
--- a/internal/drill/rollout.go
+++ b/internal/drill/rollout.go
@@ -804,7 +804,7 @@
 }
 
 // judged are the requests that the rules hold for: not those whose front end was lost with them, and those that were answered
-// late by one that stood still without their time. What was not answered at all stays a breach.
+// late by one that stood still without their time. What was not answered at all stays a violation.
 func judged(requests []Request, lost func(addr string, from, to time.Time) bool) (out []Request) {
 	for _, r := range requests {
 		if r.Outcome == WithFront {
@@ -829,14 +829,14 @@
 	for _, e := range f.dead {
 		runs = append(runs, e.Executions()...)
 	}
-	breaches := Check(Classes, judged(requests, f.lost), runs, f.toldBy(requests), surplus)
-	breach := func(rule string, at time.Time, format string, a ...any) {
-		breaches = append(breaches, Breach{rule, at, "", fmt.Sprintf(format, a...)})
+	violations := Check(Classes, judged(requests, f.lost), runs, f.toldBy(requests), surplus)
+	violate := func(rule string, at time.Time, format string, a ...any) {
+		violations = append(violations, Violation{rule, at, "", fmt.Sprintf(format, a...)})
 	}
 	for _, x := range runs {
 		for _, e := range f.empty {
 			if x.Engine == e.engine && x.Sent.Before(e.to) && (x.Sent.After(e.from) || (x.Sent.Before(e.from) && (x.Ended.IsZero() || x.Ended.After(e.from.Add(50*time.Millisecond))))) {
-				breach(NotEmpty, x.Sent, "%s ran %s until %v, and was said to be empty at %s", e.engine, x.ID, x.Ended.Sub(e.from), e.from.Format("15:04:05.000"))
+				violate(NotEmpty, x.Sent, "%s ran %s until %v, and was said to be empty at %s", e.engine, x.ID, x.Ended.Sub(e.from), e.from.Format("15:04:05.000"))
 			}
 		}
 	}
@@ -848,10 +848,10 @@
 				exposed[m.Name] = true
 			}
 			if p.Fault != "" {
-				breach(Crashes, p.Ended, "%s: %s", p.Member, p.Fault)
+				violate(Crashes, p.Ended, "%s: %s", p.Member, p.Fault)
 			}
 			if !p.Ended.IsZero() && !p.Killed && p.Code != 0 && p.Code != 75 && p.Code != 76 {
-				breach(Crashes, p.Ended, "%s ended by itself with code %d", p.Member, p.Code)
+				violate(Crashes, p.Ended, "%s ended by itself with code %d", p.Member, p.Code)
 			}
 			if !p.Chosen || p.Left.IsZero() {
 				continue
@@ -859,7 +859,7 @@
 			f.figures["went_out"]++
 			for _, h := range f.halts {
 				if p.Left.After(h.from) && p.Left.Before(h.to) {
-					breach(AfterHalt, p.Left, "%s went out %v after a halt was acknowledged", p.Member, p.Left.Sub(h.from))
+					violate(AfterHalt, p.Left, "%s went out %v after a halt was acknowledged", p.Member, p.Left.Sub(h.from))
 				}
 			}
 			var out, inRoom []string
@@ -876,14 +876,14 @@
 				}
 			}
 			if len(out) >= mostOut || len(inRoom) >= mostInRoom {
-				breach(OverBudget, p.Left, "%s went out while %s were out, %s of its room", p.Member, strings.Join(out, " "), strings.Join(inRoom, " "))
+				violate(OverBudget, p.Left, "%s went out while %s were out, %s of its room", p.Member, strings.Join(out, " "), strings.Join(inRoom, " "))
 			}
 		}
 	}
 	for _, m := range missing {
-		breach(WrongRevision, ended, "%s", m)
+		violate(WrongRevision, ended, "%s", m)
 	}
-	slices.SortStableFunc(breaches, func(a, b Breach) int { return cmp.Compare(a.At.UnixNano(), b.At.UnixNano()) })
+	slices.SortStableFunc(violations, func(a, b Violation) int { return cmp.Compare(a.At.UnixNano(), b.At.UnixNano()) })
 	for _, r := range requests {
 		f.figures[string(r.Outcome)]++
 	}
@@ -892,5 +892,5 @@
 	f.figures["exposed_to_bad"] = float64(len(exposed))
 	f.figures["service"] = Service(Classes, requests, began, ended)
 	f.figures["seconds"] = ended.Sub(began).Seconds()
-	return newReport("rollout", f.opt.Seed, breaches, f.figures)
+	return newReport("rollout", f.opt.Seed, violations, f.figures)
 }
--- a/internal/drill/rollout_test.go
+++ b/internal/drill/rollout_test.go
@@ -35,8 +35,8 @@
 			r, err := Rollout.Run(context.Background(), o)
 			require.NoError(t, err, "seed %d", c.seed)
 			var b bytes.Buffer
-			r.WriteBreaches(&b)
-			assert.True(t, r.Kept, "seed %d\n%s", c.seed, b.String())
+			r.WriteViolations(&b)
+			assert.True(t, r.Passed, "seed %d\n%s", c.seed, b.String())
 			assert.Greater(t, r.Figures["served"], 0.8*r.Figures["requests"], "seed %d", c.seed)
 			assert.Equal(t, 3.0, r.Figures["drains"], "seed %d: all were granted", c.seed)
 			assert.Positive(t, r.Figures["halts_bad"], "seed %d: the bad revision was halted", c.seed)
@@ -238,8 +238,8 @@
 		r, err := Rollout.Run(context.Background(), o)
 		require.NoError(t, err, "seed %d", o.Seed)
 		var b bytes.Buffer
-		r.WriteBreaches(&b)
-		assert.True(t, r.Kept, "seed %d\n%s", o.Seed, b.String())
+		r.WriteViolations(&b)
+		assert.True(t, r.Passed, "seed %d\n%s", o.Seed, b.String())
 	}
 }
 
