Split the rollout fault test by job: start, faults, load, operators, checks, report

Progress, draws between two durations, sorting and outcome counts now stand once for both fault tests. Fault kinds, flags, notes, figures and the sequence of draws are as they were. In tests only names have changed.

--- a/internal/drill/catalogue.go
+++ b/internal/drill/catalogue.go
@@ -1,7 +1,6 @@
 package drill
 
 import (
-	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -150,7 +149,7 @@
 
 // draw is a time between both, drawn from the seed.
 func (w *player) draw(low, high time.Duration) time.Duration {
-	return low + time.Duration(w.rng.Int64N(int64(high-low)+1))
+	return between(w.rng, low, high)
 }
 
 // fault is one kind of trouble: it plays out, and leaves all well again.
@@ -282,7 +281,7 @@
 func (w *player) play(ctx context.Context, engines bool) {
 	var list []fault
 	for _, f := range faults {
-		if f.engine == engines && (w.opt.Faults == "all" || w.opt.Faults == f.name) {
+		if f.engine == engines && w.opt.plays(f.name) {
 			list = append(list, f)
 		}
 	}
@@ -411,14 +410,7 @@
 	progress := make(chan struct{})
 	go func() {
 		defer close(progress)
-		for i := 1; i <= o.Seconds; i++ {
-			if !pause(play, time.Until(began.Add(time.Duration(i)*time.Second))) {
-				return
-			}
-			if o.Step != nil {
-				o.Step(i, o.Seconds)
-			}
-		}
+		showProgress(play, began, o)
 	}()
 	requests := load.Run(ctx, time.Duration(o.Seconds)*time.Second)
 	enough()
@@ -443,7 +435,7 @@
 	if stopped != nil {
 		violations = append(violations, Violation{Crashes, time.Now(), "", stopped.Error()})
 	}
-	slices.SortStableFunc(violations, func(a, b Violation) int { return cmp.Compare(a.At.UnixNano(), b.At.UnixNano()) })
+	sortByTime(violations)
 	for at := began; at.Before(began.Add(time.Duration(o.Seconds) * time.Second)); at = at.Add(time.Second) {
 		if v := Service(Classes, requests, at, at.Add(time.Second)); v < 0.9 {
 			o.note("service %.2f in the second from %s", v, at.Format("15:04:05.000"))
@@ -464,9 +456,7 @@
 		figures["told_p99_ms"] = float64(w.seen.ValueAtQuantile(99)) / 1000
 		figures["told_count"] = float64(w.seen.TotalCount())
 	}
-	for _, r := range requests {
-		figures[string(r.Outcome)]++
-	}
+	countOutcomes(figures, requests)
 	return newReport("catalogue", o.Seed, violations, figures), nil
 }
 
--- a/internal/drill/checker.go
+++ b/internal/drill/checker.go
@@ -65,6 +65,11 @@
 	Text string    `json:"text"`
 }
 
+// sortByTime sorts violations by their time, and leaves those of one time in their order.
+func sortByTime(violations []Violation) {
+	slices.SortStableFunc(violations, func(a, b Violation) int { return cmp.Compare(a.At.UnixNano(), b.At.UnixNano()) })
+}
+
 // The rules, by the names that reports use.
 const (
 	LateSends     = "late_sends"     // sends to an engine later than DrainGrace after the word of its drain
--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"text/tabwriter"
@@ -127,6 +128,26 @@
 	}
 }
 
+// plays tells whether faults of a kind are asked for.
+func (o *Options) plays(kind string) bool { return o.Faults == "all" || o.Faults == kind }
+
+// showProgress reports each second of a drill that began then, until ctx ends.
+func showProgress(ctx context.Context, began time.Time, o Options) {
+	for second := 1; second <= o.Seconds; second++ {
+		if !pause(ctx, time.Until(began.Add(time.Duration(second)*time.Second))) {
+			return
+		}
+		if o.Step != nil {
+			o.Step(second, o.Seconds)
+		}
+	}
+}
+
+// between draws a duration from low to high, both included.
+func between(rng *rand.Rand, low, high time.Duration) time.Duration {
+	return low + time.Duration(rng.Int64N(int64(high-low)+1))
+}
+
 // pause waits; false when ctx ended first.
 func pause(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
--- a/internal/drill/load.go
+++ b/internal/drill/load.go
@@ -233,6 +233,13 @@
 	return Served, ""
 }
 
+// countOutcomes adds the number of requests of each outcome to figures, by the outcome's name.
+func countOutcomes(figures map[string]float64, requests []Request) {
+	for _, request := range requests {
+		figures[string(request.Outcome)]++
+	}
+}
+
 // Service is the worth answered within its aim over the worth asked for, of the requests due in [from, to).
 func Service(classes []Class, list []Request, from, to time.Time) float64 {
 	var got, asked float64
--- /dev/null
+++ b/internal/drill/rollout_checks.go
@@ -0,0 +1,174 @@
+package drill
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"beechcart/decision/rollout"
+	"beechcart/internal/drill/rig"
+	"beechcart/internal/standin/engine"
+)
+
+// The exit codes with which a front end ends as the fleet has told it: to be started again, or once it is undrained.
+const (
+	exitRestart = 75
+	exitDrained = 76
+)
+
+// emptyGrace is by how much an execution may end after its engine was declared empty: its end is noted after its answer.
+const emptyGrace = 50 * time.Millisecond
+
+// waitSettled waits until all members serve on the revision that is agreed, and returns what is missing if they never do.
+func (r *rolloutRun) waitSettled(ctx context.Context) (missing []string) {
+	for range 400 {
+		missing = r.unsettled()
+		if len(missing) == 0 || !pause(ctx, 100*time.Millisecond) {
+			return missing
+		}
+	}
+	return missing
+}
+
+// unsettled lists what keeps the cluster from being settled.
+func (r *rolloutRun) unsettled() (reasons []string) {
+	status := r.leaderStatus()
+	if status == nil {
+		return []string{"nobody leads"}
+	}
+	for _, m := range r.cluster.Members {
+		if reason := unsettledMember(m, &status.State); reason != "" {
+			reasons = append(reasons, reason)
+		}
+	}
+	return reasons
+}
+
+// unsettledMember tells what keeps one member from being settled; empty for nothing.
+func unsettledMember(m *rig.Member, state *rollout.State) string {
+	agreed := state.Members[m.Name]
+	processes := m.Processes()
+	current := processes[len(processes)-1]
+	switch {
+	case agreed == nil || agreed.Phase != rollout.Serving || agreed.Doubted || !m.Up():
+		return m.Name + " does not serve"
+	case agreed.Revision != agreed.Wanted || current.Revision != agreed.Wanted:
+		return fmt.Sprintf("%s runs %s, and %s is agreed", m.Name, current.Revision, agreed.Wanted)
+	case state.Release == nil || state.Release.State != rollout.Done:
+		return "a release is under way"
+	}
+	return ""
+}
+
+// judgedRequests returns the requests that the rules hold for. Those that were lost with their front end are left out. The
+// time limit is waived for those that a front end answered late because it was stopped; a request without any answer stays
+// a violation.
+func judgedRequests(requests []Request, disturbed func(address string, from, to time.Time) bool) (judged []Request) {
+	for _, request := range requests {
+		if request.Outcome == WithFront {
+			continue
+		}
+		if request.Outcome != Unanswered && disturbed(request.Addr, request.Due, request.Due.Add(request.Latency)) {
+			request.Latency = 0
+		}
+		judged = append(judged, request)
+	}
+	return judged
+}
+
+// rolloutChecker collects the violations of the rules of the rollout fault test.
+type rolloutChecker struct {
+	members      []*rig.Member
+	emptyPeriods []emptyPeriod
+	haltPeriods  []period
+	violations   []Violation
+}
+
+func (c *rolloutChecker) violate(rule string, at time.Time, format string, args ...any) {
+	c.violations = append(c.violations, Violation{Rule: rule, At: at, Text: fmt.Sprintf(format, args...)})
+}
+
+// checkEmptiness finds executions on engines that were declared empty.
+func (c *rolloutChecker) checkEmptiness(executions []engine.Execution) {
+	for _, x := range executions {
+		for _, empty := range c.emptyPeriods {
+			if empty.engine == x.Engine && empty.overlaps(x) {
+				c.violate(NotEmpty, x.Sent, "%s ran %s until %v, and was said to be empty at %s",
+					empty.engine, x.ID, x.Ended.Sub(empty.from), empty.from.Format("15:04:05.000"))
+			}
+		}
+	}
+}
+
+// overlaps tells whether an execution began in the period, or before it and went on into it.
+func (p period) overlaps(x engine.Execution) bool {
+	switch {
+	case !x.Sent.Before(p.to):
+		return false
+	case x.Sent.After(p.from):
+		return true
+	}
+	return x.Sent.Before(p.from) && (x.Ended.IsZero() || x.Ended.After(p.from.Add(emptyGrace)))
+}
+
+// checkProcesses checks the exit of each process, and each shutdown that the fleet has granted.
+func (c *rolloutChecker) checkProcesses() {
+	for _, m := range c.members {
+		for _, p := range m.Processes() {
+			c.checkExit(p)
+			if granted(p) {
+				c.checkHalts(p)
+				c.checkBudget(m, p)
+			}
+		}
+	}
+}
+
+// granted tells whether a process stopped accepting requests under a shutdown grant.
+func granted(p rig.Process) bool { return p.Chosen && !p.Left.IsZero() }
+
+// checkExit finds processes that crashed or broke an invariant.
+func (c *rolloutChecker) checkExit(p rig.Process) {
+	if p.Fault != "" {
+		c.violate(Crashes, p.Ended, "%s: %s", p.Member, p.Fault)
+	}
+	ended := !p.Ended.IsZero() && !p.Killed
+	if ended && !slices.Contains([]int{0, exitRestart, exitDrained}, p.Code) {
+		c.violate(Crashes, p.Ended, "%s ended by itself with code %d", p.Member, p.Code)
+	}
+}
+
+// checkHalts finds a granted shutdown that began after a halt was acknowledged.
+func (c *rolloutChecker) checkHalts(p rig.Process) {
+	for _, halt := range c.haltPeriods {
+		if p.Left.After(halt.from) && p.Left.Before(halt.to) {
+			c.violate(AfterHalt, p.Left, "%s went out %v after a halt was acknowledged", p.Member, p.Left.Sub(halt.from))
+		}
+	}
+}
+
+// checkBudget finds a granted shutdown that began while as many others as the budget allows were unavailable.
+func (c *rolloutChecker) checkBudget(m *rig.Member, p rig.Process) {
+	var unavailable, inZone []string
+	for _, other := range c.members {
+		if other == m || !knownUnavailable(other, p.Left) {
+			continue
+		}
+		unavailable = append(unavailable, other.Name)
+		if other.Room == m.Room {
+			inZone = append(inZone, other.Name)
+		}
+	}
+	if len(unavailable) >= maxUnavailable || len(inZone) >= maxUnavailableInZone {
+		c.violate(OverBudget, p.Left, "%s went out while %s were out, %s of its room",
+			p.Member, strings.Join(unavailable, " "), strings.Join(inZone, " "))
+	}
+}
+
+// knownUnavailable tells whether a member was unavailable at a time, and the fleet had to know it.
+func knownUnavailable(m *rig.Member, at time.Time) bool {
+	unavailable, byGrant, since := m.Out(at)
+	return unavailable && (byGrant || at.Sub(since) > failureDetection)
+}
--- /dev/null
+++ b/internal/drill/rollout_disk_faults.go
@@ -0,0 +1,71 @@
+package drill
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"beechcart/internal/drill/rig"
+)
+
+// caughtUpWithin is how many log entries a control replica may lack and count as caught up.
+const caughtUpWithin = 5
+
+// loseDisk kills a control replica and removes its replica store.
+func (r *rolloutRun) loseDisk(ctx context.Context, rng *rand.Rand) {
+	m := r.claim(rng, true)
+	if m == nil {
+		return
+	}
+	defer r.unclaim(m)
+	r.options.note("%s loses its disk", m.Name)
+	if err := m.LoseDisk(); err != nil {
+		r.options.note("%v", err)
+	}
+	r.waitListening(ctx, m)
+	r.waitRejoined(ctx, m)
+}
+
+// diskFault lets the writes of a control replica fail for a while, as rig.Member.FailDisk names it. Its process continues.
+func diskFault(failure string) func(*rolloutRun, context.Context, *rand.Rand) {
+	return func(r *rolloutRun, ctx context.Context, rng *rand.Rand) {
+		m := r.claim(rng, true)
+		if m == nil {
+			return
+		}
+		defer r.unclaim(m)
+		r.options.note("the disk of %s fails: %s", m.Name, failure)
+		if err := m.FailDisk(failure); err != nil {
+			r.options.note("%v", err)
+		}
+		pause(ctx, between(rng, time.Second, 5*time.Second))
+		if err := m.FailDisk(""); err != nil {
+			r.options.note("%v", err)
+		}
+		r.waitRejoined(ctx, m)
+	}
+}
+
+// waitRejoined waits until a control replica with a new disk is a caught-up voter again. A second disk lost before that is
+// more than three replicas tolerate.
+func (r *rolloutRun) waitRejoined(ctx context.Context, m *rig.Member) {
+	for range 300 {
+		if r.hasRejoined(m) {
+			return
+		}
+		if !pause(ctx, 100*time.Millisecond) {
+			return
+		}
+	}
+	r.options.note("%s is not back among the keepers", m.Name)
+}
+
+func (r *rolloutRun) hasRejoined(m *rig.Member) bool {
+	leader := r.leaderStatus()
+	if leader == nil || len(leader.Servers) != controlReplicas || slices.Contains(leader.Servers, "") {
+		return false
+	}
+	replica, err := r.cluster.Client.StatusOf(m.Name)
+	return err == nil && replica.Index+caughtUpWithin >= leader.Index
+}
--- /dev/null
+++ b/internal/drill/rollout_engines.go
@@ -0,0 +1,155 @@
+package drill
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"beechcart/decision/rollout"
+	"beechcart/internal/standin/changelog"
+	"beechcart/internal/standin/engine"
+)
+
+// Faults of the engine that the bad revision connects to.
+const (
+	badErrorShare = 0.6
+	badDelay      = 700 * time.Millisecond
+)
+
+// managedEngine is one engine, through all its processes. It has two at a time: the one of the good revisions, and the one
+// that stands for it under the bad revision.
+type managedEngine struct {
+	name      string
+	good, bad *engine.Engine
+	since     int64 // start of the processes, Unix milliseconds; 0: long ago
+}
+
+func (e *managedEngine) kill() {
+	e.good.Kill()
+	e.bad.Kill()
+}
+
+// zone returns the zone of the engine. Engines alternate between the zones by the first digit of their number.
+func (e *managedEngine) zone() string {
+	return rolloutZones[int(e.name[1])%len(rolloutZones)]
+}
+
+// startEngines starts all engines and lists them in both change logs.
+func (r *rolloutRun) startEngines() error {
+	r.onClose(func() {
+		for _, e := range r.engines {
+			e.kill()
+		}
+	})
+	for i := range r.options.Engines {
+		e := &managedEngine{name: fmt.Sprintf("e%d", i)}
+		if err := r.startEngine(e); err != nil {
+			return err
+		}
+		e.since = 0
+		r.engines = append(r.engines, e)
+	}
+	r.publish(true, r.engines...)
+	return nil
+}
+
+// startEngine starts new processes of an engine.
+func (r *rolloutRun) startEngine(e *managedEngine) error {
+	options := engine.Options{Name: e.name, Cores: 4, Sessions: 64, Classes: stock}
+	good, err := engine.Start("127.0.0.1:0", options)
+	if err != nil {
+		return fmt.Errorf("drill: %w", err)
+	}
+	if r.options.Bad == badSlow {
+		options.Lag = badDelay
+	} else {
+		options.Errs = badErrorShare
+	}
+	bad, err := engine.Start("127.0.0.1:0", options)
+	if err != nil {
+		return fmt.Errorf("drill: %w", err)
+	}
+	r.mu.Lock()
+	e.good, e.bad, e.since = good, bad, time.Now().UnixMilli()
+	r.mu.Unlock()
+	return nil
+}
+
+// publish writes engines to both change logs; complete tells front ends that there are no others.
+func (r *rolloutRun) publish(complete bool, engines ...*managedEngine) {
+	var good, bad []changelog.Endpoint
+	for _, e := range engines {
+		endpoint := changelog.Endpoint{Name: e.name, Address: e.good.Addr, Zone: e.zone(), Type: "std-4", Status: "ready", SinceMS: e.since}
+		good = append(good, endpoint)
+		endpoint.Address = e.bad.Addr
+		bad = append(bad, endpoint)
+	}
+	r.goodLog.Tell(complete, good...)
+	r.badLog.Tell(complete, bad...)
+}
+
+// drainEngine drains an engine, stops it once the fleet permits that, and starts it again as a new process.
+func (r *rolloutRun) drainEngine(ctx context.Context, rng *rand.Rand) {
+	e := r.engines[rng.IntN(len(r.engines))]
+	permit, granted := r.grantDrain(ctx, e.name)
+	if !granted {
+		return
+	}
+	r.count("drains", 1)
+	r.options.note("drain %s, permit %d", e.name, permit)
+	began := time.Now()
+	if !r.waitMayStop(ctx, permit) {
+		return
+	}
+	permitted := time.Now()
+	r.count("drain_s", permitted.Sub(began).Seconds())
+	r.options.note("%s may be stopped, after %v", e.name, permitted.Sub(began).Round(time.Millisecond))
+	pause(ctx, between(rng, 200*time.Millisecond, time.Second))
+	r.replaceProcesses(e, permitted)
+}
+
+// grantDrain asks for the drain of an engine until it is granted, and returns its permit; false if ctx ended before.
+func (r *rolloutRun) grantDrain(ctx context.Context, name string) (permit uint64, granted bool) {
+	for {
+		result, err := r.apply(ctx, rollout.Command{Drain: &rollout.Holder{Name: name, Engine: true}})
+		if err != nil {
+			return 0, false
+		}
+		if result.Refusal == nil {
+			return result.Permit, true
+		}
+		r.options.note("drain of %s refused: %v", name, result.Refusal)
+		if !pause(ctx, time.Second) {
+			return 0, false
+		}
+	}
+}
+
+// waitMayStop waits until the holder of a permit may be stopped; false if ctx ended before.
+func (r *rolloutRun) waitMayStop(ctx context.Context, number uint64) bool {
+	for {
+		if status := r.leaderStatus(); status != nil {
+			if permit := status.State.Permits[number]; permit != nil && permit.MayStop > 0 {
+				return true
+			}
+		}
+		if !pause(ctx, 50*time.Millisecond) {
+			return false
+		}
+	}
+}
+
+// replaceProcesses stops the processes of an engine that may be stopped since then, and starts new ones.
+func (r *rolloutRun) replaceProcesses(e *managedEngine, permitted time.Time) {
+	r.mu.Lock()
+	r.emptyPeriods = append(r.emptyPeriods, emptyPeriod{e.name, period{permitted, time.Now()}})
+	r.retired = append(r.retired, e.good, e.bad)
+	r.mu.Unlock()
+	e.kill()
+	if err := r.startEngine(e); err != nil {
+		r.options.note("%v", err)
+		return
+	}
+	r.publish(false, e)
+}
--- /dev/null
+++ b/internal/drill/rollout_link_faults.go
@@ -0,0 +1,87 @@
+package drill
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"beechcart/internal/drill/rig"
+)
+
+// lossShare is the share of datagrams that a lossy network loses, and the share that it repeats.
+const lossShare = 0.2
+
+// linkSelector chooses links by the names of the members at their ends.
+type linkSelector func(from, to string) bool
+
+func allLinks(string, string) bool { return true }
+
+// across selects the links between a set of members and the others.
+func across(inside memberSet) linkSelector {
+	return func(from, to string) bool { return inside[from] != inside[to] }
+}
+
+func restoreLink(l *rig.Link) { l.Set(rig.Trouble{}) }
+
+// disturb sets links in trouble for a while.
+func (r *rolloutRun) disturb(ctx context.Context, rng *rand.Rand, selected linkSelector, trouble rig.Trouble) {
+	r.network.Each(selected, func(l *rig.Link) { l.Set(trouble) })
+	pause(ctx, between(rng, time.Second, 6*time.Second))
+	r.network.Each(selected, restoreLink)
+}
+
+// membersIn returns the members of a zone.
+func (r *rolloutRun) membersIn(zone string) memberSet {
+	members := memberSet{}
+	for _, m := range r.cluster.Members {
+		if m.Room == zone {
+			members[m.Name] = true
+		}
+	}
+	return members
+}
+
+func drawZone(rng *rand.Rand) string { return rolloutZones[rng.IntN(len(rolloutZones))] }
+
+// drawMember draws the name of a member.
+func (r *rolloutRun) drawMember(rng *rand.Rand) string {
+	return r.cluster.Members[rng.IntN(len(r.cluster.Members))].Name
+}
+
+// isolateZone cuts a zone off from the others.
+func (r *rolloutRun) isolateZone(ctx context.Context, rng *rand.Rand) {
+	zone := drawZone(rng)
+	r.options.note("cut %s off", zone)
+	r.disturb(ctx, rng, across(r.membersIn(zone)), rig.Trouble{Cut: true})
+}
+
+// cutOneWay cuts all links to a member, or all from it.
+func (r *rolloutRun) cutOneWay(ctx context.Context, rng *rand.Rand) {
+	member := r.drawMember(rng)
+	inbound := rng.IntN(2) == 0
+	r.options.note("%s hears nothing, or is not heard: %v", member, inbound)
+	selected := func(from, to string) bool { return (inbound && to == member) || (!inbound && from == member) }
+	r.disturb(ctx, rng, selected, rig.Trouble{Cut: true})
+}
+
+// delayZone delays what goes between a zone and the others.
+func (r *rolloutRun) delayZone(ctx context.Context, rng *rand.Rand) {
+	zone := drawZone(rng)
+	r.options.note("slow links")
+	delay := between(rng, 30*time.Millisecond, 200*time.Millisecond)
+	r.disturb(ctx, rng, across(r.membersIn(zone)), rig.Trouble{Delay: delay})
+}
+
+// loseDatagrams loses and repeats datagrams of all members.
+func (r *rolloutRun) loseDatagrams(ctx context.Context, rng *rand.Rand) {
+	r.options.note("datagrams are lost and repeated")
+	r.disturb(ctx, rng, allLinks, rig.Trouble{Drop: lossShare, Dup: lossShare})
+}
+
+// resetConnections resets the connections of a member.
+func (r *rolloutRun) resetConnections(_ context.Context, rng *rand.Rand) {
+	member := r.drawMember(rng)
+	r.options.note("reset the connections of %s", member)
+	selected := func(from, to string) bool { return from == member || to == member }
+	r.network.Each(selected, (*rig.Link).Reset)
+}
--- /dev/null
+++ b/internal/drill/rollout_start.go
@@ -0,0 +1,222 @@
+package drill
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"beechcart/decision/rollout"
+	"beechcart/internal/drill/rig"
+	"beechcart/internal/fleet"
+	"beechcart/internal/standin/changelog"
+)
+
+// Limits of each front end of the test cluster.
+const (
+	frontMemoryMB = 192
+	frontSockets  = 1024
+)
+
+// startRollout starts stub servers and the test cluster. It returns once the cluster serves under the budgets of the test.
+// The caller must close the run.
+func startRollout(ctx context.Context, o Options) (_ *rolloutRun, err error) {
+	dir, err := os.MkdirTemp("", "drill")
+	if err != nil {
+		return nil, fmt.Errorf("drill: %w", err)
+	}
+	run := newRolloutRun(o)
+	defer func() {
+		if err != nil {
+			run.close()
+		}
+	}()
+	run.onClose(func() { os.RemoveAll(dir) })
+	run.onClose(run.network.Close)
+	if err := run.startChangeLogs(); err != nil {
+		return nil, err
+	}
+	if err := run.startEngines(); err != nil {
+		return nil, err
+	}
+	if err := run.startCluster(ctx, dir); err != nil {
+		return nil, err
+	}
+	if err := run.configure(ctx); err != nil {
+		return nil, err
+	}
+	return run, run.waitAssembled(ctx)
+}
+
+// onClose registers what releases a resource.
+func (r *rolloutRun) onClose(release func()) { r.closers = append(r.closers, release) }
+
+// close stops all processes and releases all resources, the last acquired first.
+func (r *rolloutRun) close() {
+	for _, release := range slices.Backward(r.closers) {
+		release()
+	}
+}
+
+func (r *rolloutRun) startChangeLogs() error {
+	for _, log := range []**changelog.Log{&r.goodLog, &r.badLog} {
+		started, err := changelog.Start("127.0.0.1:0")
+		if err != nil {
+			return fmt.Errorf("drill: %w", err)
+		}
+		*log = started
+		r.onClose(started.Close)
+	}
+	return nil
+}
+
+func (r *rolloutRun) startCluster(ctx context.Context, dir string) (err error) {
+	starter := &frontStarter{run: r, dir: dir, starts: map[string]int{}}
+	r.cluster, err = rig.NewFleet(rig.Options{
+		Members: r.options.Fronts,
+		Rooms:   rolloutZones,
+		Keepers: controlReplicas,
+		Dir:     dir,
+		Net:     r.network,
+		Note:    r.options.note,
+		Start:   starter.start,
+	})
+	if err != nil {
+		return err
+	}
+	r.onClose(r.cluster.Stop)
+	return r.cluster.Start(ctx, firstRevision)
+}
+
+// frontStarter starts the front end processes of the members. It is safe for concurrent use.
+type frontStarter struct {
+	run *rolloutRun
+	dir string
+
+	mu     sync.Mutex
+	starts map[string]int // so far, by member
+}
+
+func (s *frontStarter) start(m *rig.Member, revision, fleetSettings string) (rig.Front, error) {
+	dir, err := s.newDir(m.Name)
+	if err != nil {
+		return nil, err
+	}
+	front, err := StartFront(FrontOptions{
+		Program:   s.run.options.Program,
+		Dir:       dir,
+		Name:      m.Name,
+		Listen:    m.Addr,
+		ChangeLog: s.run.changeLogOf(revision).Addr,
+		MemoryMB:  frontMemoryMB,
+		Sockets:   frontSockets,
+		Facts:     rolloutFacts(m, s.run.options.Fronts),
+		Settings:  `{"schema":1,"fleet":` + fleetSettings + `}`,
+		Line:      func(line string) { s.run.followLog(m, line) },
+	})
+	if err != nil {
+		return nil, err // without it, a nil *Front would be a rig.Front that is not nil
+	}
+	return front, nil
+}
+
+// newDir makes the directory of one process of a member.
+func (s *frontStarter) newDir(member string) (string, error) {
+	s.mu.Lock()
+	s.starts[member]++
+	dir := filepath.Join(s.dir, fmt.Sprintf("%s-%d", member, s.starts[member]))
+	s.mu.Unlock()
+	return dir, os.Mkdir(dir, 0o700)
+}
+
+// changeLogOf returns the log that front ends of a revision read. That of the bad revision lists the same engines at the
+// addresses of processes that fail or are slow.
+func (r *rolloutRun) changeLogOf(revision string) *changelog.Log {
+	if revision == badRevision {
+		return r.badLog
+	}
+	return r.goodLog
+}
+
+// rolloutFacts returns Facts for one front end of several, in the zones of the test.
+func rolloutFacts(m *rig.Member, members int) string {
+	const one, oneZone = `"locality":"room-a","me":0,"replicas_of_me":1`, `"zones":["room-a"]`
+	own := fmt.Sprintf(`"locality":%q,"me":%d,"replicas_of_me":%d`, m.Room, m.Number, members)
+	facts := strings.Replace(Facts, one, own, 1)
+	return strings.Replace(facts, oneZone, `"zones":["room-a","room-b","room-c"]`, 1)
+}
+
+// configure initializes the replicated log and sets the budgets of the test.
+func (r *rolloutRun) configure(ctx context.Context) error {
+	initErr := r.initLog(ctx)
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	settings := r.settings()
+	if _, err := r.apply(ctx, rollout.Command{Configure: &settings}); err != nil {
+		return fmt.Errorf("drill: no keeper leads: %w (%w)", err, initErr)
+	}
+	return nil
+}
+
+// initLog asks the control replicas to initialize the log until they have, or had before, and returns the last error.
+func (r *rolloutRun) initLog(ctx context.Context) (last error) {
+	for range 200 {
+		last = r.cluster.Client.Init()
+		if last == nil || errors.As(last, new(*fleet.RefusedError)) {
+			return last
+		}
+		if !pause(ctx, 50*time.Millisecond) {
+			return last
+		}
+	}
+	return last
+}
+
+// settings returns the fleet settings of the test.
+func (r *rolloutRun) settings() rollout.Settings {
+	budget := rollout.Budget{Most: maxUnavailable, RoomMost: maxUnavailableInZone}
+	settings := rollout.Defaults()
+	settings.FrontEnds, settings.WayBack = budget, budget
+	settings.Engines = rollout.Budget{Most: maxUnavailableEngines}
+	settings.NotBack = 25 * time.Second
+	settings.CrashLoop = 4
+	settings.Judge.Least = 200
+	settings.Judge.Dispersion = 1 // failures here are independent
+	if r.options.Policy == policyUnjudged {
+		settings.Judge.Alpha = 1e-300
+	}
+	return settings
+}
+
+// waitAssembled waits until all members serve and all engines are known.
+func (r *rolloutRun) waitAssembled(ctx context.Context) error {
+	for range 400 {
+		if r.assembled() {
+			return nil
+		}
+		if !pause(ctx, 50*time.Millisecond) {
+			return ctx.Err()
+		}
+	}
+	return errors.New("drill: the fleet does not come together")
+}
+
+func (r *rolloutRun) assembled() bool {
+	status := r.leaderStatus()
+	if status == nil || len(status.Servers) != controlReplicas {
+		return false
+	}
+	serving := 0
+	for _, m := range status.State.Members {
+		if m.Phase == rollout.Serving && !m.Doubted {
+			serving++
+		}
+	}
+	return serving == r.options.Fronts && len(status.State.Engines) == r.options.Engines
+}
--- a/internal/drill/rollout_test.go
+++ b/internal/drill/rollout_test.go
@@ -48,29 +48,29 @@
 // Guards against a rule that can't fail: front ends hear of a drain at different times, and each is held to its own.
 func TestALateSendIsHeldAgainstTheFrontEndThatKnew(t *testing.T) {
 	t0 := time.Date(2026, 12, 1, 12, 0, 0, 0, time.UTC)
-	f := &field{drains: map[string]*Drains{}}
+	f := &rolloutRun{drains: map[string]*Drains{}}
 	knew, other := &rig.Member{Name: "n0", Addr: "127.0.1.1:7001"}, &rig.Member{Name: "n1", Addr: "127.0.1.2:7001"}
-	f.line(knew, "time="+t0.Format("2006-01-02T15:04:05.000Z")+` level=INFO msg="engine listed" node=n0 engine=e1 id=7 state=draining address=127.0.0.1:9 reason=vetoed`)
+	f.followLog(knew, "time="+t0.Format("2006-01-02T15:04:05.000Z")+` level=INFO msg="engine listed" node=n0 engine=e1 id=7 state=draining address=127.0.0.1:9 reason=vetoed`)
 	runs := []engine.Execution{{Engine: "e1", ID: "a", Class: "lookup", Sent: t0.Add(600 * time.Millisecond), Ended: t0.Add(610 * time.Millisecond), Good: true}}
 	for m, want := range map[*rig.Member]int{knew: 1, other: 0} {
 		r := []Request{{ID: "a", Due: t0.Add(590 * time.Millisecond), Sent: t0.Add(590 * time.Millisecond), Latency: 30 * time.Millisecond, Outcome: Served, Addr: m.Addr}}
-		got := Check(Classes, r, runs, f.toldBy(r), nil)
+		got := Check(Classes, r, runs, f.drainsByRequest(r), nil)
 		if assert.Len(t, got, want, m.Name); want > 0 {
 			assert.Equal(t, LateSends, got[0].Rule)
 		}
 	}
-	f.line(knew, "time="+t0.Add(100*time.Millisecond).Format("2006-01-02T15:04:05.000Z")+` level=INFO msg="engine listed" node=n0 engine=e1 id=7 state=ready address=127.0.0.1:9`)
+	f.followLog(knew, "time="+t0.Add(100*time.Millisecond).Format("2006-01-02T15:04:05.000Z")+` level=INFO msg="engine listed" node=n0 engine=e1 id=7 state=ready address=127.0.0.1:9`)
 	r := []Request{{ID: "a", Due: t0, Sent: t0, Latency: time.Second, Outcome: Served, Addr: knew.Addr}}
-	assert.Empty(t, Check(Classes, r, runs, f.toldBy(r), nil), "the drain was lifted before")
+	assert.Empty(t, Check(Classes, r, runs, f.drainsByRequest(r), nil), "the drain was lifted before")
 }
 
 // drainedFleet starts six front ends, three of them keepers, that have agreed on the drain of e1 under the permit.
-func drainedFleet(t *testing.T, seed uint64) (ctx context.Context, f *field, permit uint64) {
+func drainedFleet(t *testing.T, seed uint64) (ctx context.Context, f *rolloutRun, permit uint64) {
 	ctx, cancel := context.WithTimeout(context.Background(), 90*time.Second)
 	t.Cleanup(cancel)
-	f, end, err := open(ctx, Options{Program: program, Seed: seed, Seconds: 2, Rate: 60, Engines: 4, Fronts: 6, Faults: "none"})
+	f, err := startRollout(ctx, Options{Program: program, Seed: seed, Seconds: 2, Rate: 60, Engines: 4, Fronts: 6, Faults: "none"})
 	require.NoError(t, err)
-	t.Cleanup(end)
+	t.Cleanup(f.close)
 	r, err := f.apply(ctx, rollout.Command{Drain: &rollout.Holder{Name: "e1", Engine: true}})
 	require.NoError(t, err)
 	require.Nil(t, r.Refusal)
@@ -78,8 +78,8 @@
 }
 
 // assertServes plays 3 s of requests, of which nearly all are served.
-func assertServes(t *testing.T, ctx context.Context, f *field) {
-	load := &Load{Rate: 60, Classes: Classes, Rand: rand.New(rand.NewPCG(1, 2)), Pick: f.pick(), Lost: f.lost}
+func assertServes(t *testing.T, ctx context.Context, f *rolloutRun) {
+	load := &Load{Rate: 60, Classes: Classes, Rand: rand.New(rand.NewPCG(1, 2)), Pick: f.newPicker(), Lost: f.disturbed}
 	requests := load.Run(ctx, 3*time.Second)
 	served := 0
 	for _, q := range requests {
@@ -95,53 +95,53 @@
 func TestKeepersAreLost(t *testing.T) {
 	ctx, f, permit := drainedFleet(t, 5)
 
-	n0, n1 := f.fleet.Members[0], f.fleet.Members[1]
+	n0, n1 := f.cluster.Members[0], f.cluster.Members[1]
 	require.True(t, n0.Keeps && n1.Keeps)
 	n0.Signal(syscall.SIGSTOP)
 	n1.Signal(syscall.SIGSTOP)
-	_, err := f.fleet.Client.Apply(rollout.Command{ID: "lost", By: "a test", Start: &rollout.Start{Revision: "r2", Waves: []float64{1}}})
+	_, err := f.cluster.Client.Apply(rollout.Command{ID: "lost", By: "a test", Start: &rollout.Start{Revision: "r2", Waves: []float64{1}}})
 	require.Error(t, err, "nothing is agreed")
 	assertServes(t, ctx, f)
-	for _, m := range f.fleet.Members {
+	for _, m := range f.cluster.Members {
 		assert.Len(t, m.Processes(), 1, "%s went out, and nothing was agreed", m.Name)
 	}
 	n0.Signal(syscall.SIGCONT)
 	n1.Signal(syscall.SIGCONT)
 	back := time.Now()
 	has := func() bool {
-		s := f.state()
+		s := f.leaderStatus()
 		return s != nil && len(s.Servers) == 3 && s.State.Permits[permit] != nil && s.State.Permits[permit].MayStop > 0
 	}
 	require.Eventually(t, has, 10*time.Second, 20*time.Millisecond)
 	assert.Less(t, time.Since(back), 5*time.Second)
 
-	for _, m := range f.fleet.Members[:2] {
-		was := f.state().Servers
+	for _, m := range f.cluster.Members[:2] {
+		was := f.leaderStatus().Servers
 		require.NoError(t, m.LoseDisk())
-		f.back(ctx, m)
-		f.rejoined(ctx, m)
+		f.waitListening(ctx, m)
+		f.waitRejoined(ctx, m)
 		require.Eventually(t, has, 10*time.Second, 20*time.Millisecond, "what was agreed before is known, without the disk of %s", m.Name)
-		assert.NotEqual(t, was, f.state().Servers, "%s has another identity", m.Name)
+		assert.NotEqual(t, was, f.leaderStatus().Servers, "%s has another identity", m.Name)
 	}
-	one, err := f.fleet.Client.StatusOf("n0")
+	one, err := f.cluster.Client.StatusOf("n0")
 	require.NoError(t, err)
 	assert.NotNil(t, one.State.Permits[permit], "a keeper whose disk was lost has it from the others")
-	assert.True(t, errors.As(f.fleet.Client.Init(), new(*fleet.RefusedError)), "no second fleet is begun")
+	assert.True(t, errors.As(f.cluster.Client.Init(), new(*fleet.RefusedError)), "no second fleet is begun")
 }
 
 // The disk of a keeper is full while another one is killed, so that it would have to vote; then a sync fails; then two. Its front end
 // serves on through all of it. Without the mends the full disk ended the process: the library panics on a term that it can't write.
 func TestDisksOfKeepersFail(t *testing.T) {
 	ctx, f, permit := drainedFleet(t, 6)
-	n0 := f.fleet.Members[0]
+	n0 := f.cluster.Members[0]
 	leader := func() string {
-		if s := f.state(); s != nil && len(s.Servers) == 3 {
+		if s := f.leaderStatus(); s != nil && len(s.Servers) == 3 {
 			return s.Keeper
 		}
 		return ""
 	}
 	identity := func(name string) string {
-		if s := f.state(); s != nil {
+		if s := f.leaderStatus(); s != nil {
 			for _, id := range s.Servers {
 				if strings.HasPrefix(id, name+".") {
 					return id
@@ -151,7 +151,7 @@
 		return ""
 	}
 	has := func() bool {
-		s, err := f.fleet.Client.StatusOf("n0")
+		s, err := f.cluster.Client.StatusOf("n0")
 		return err == nil && s.State.Permits[permit] != nil && leader() != ""
 	}
 	require.Eventually(t, has, 10*time.Second, 20*time.Millisecond)
@@ -159,16 +159,16 @@
 
 	require.NoError(t, n0.FailDisk("full"))
 	at := leader()
-	for _, m := range f.fleet.Members[1:3] {
+	for _, m := range f.cluster.Members[1:3] {
 		if m.Name == at {
 			m.Signal(syscall.SIGKILL)
-			f.back(ctx, m)
+			f.waitListening(ctx, m)
 		}
 	}
 	require.Eventually(t, func() bool { at := leader(); return at != "" && at != "n0" }, 15*time.Second, 20*time.Millisecond, "the others agree")
 	_, err := f.apply(ctx, rollout.Command{Undrain: &rollout.Holder{Name: "e3", Engine: true}}) // something to write
 	require.NoError(t, err)
-	require.Eventually(t, func() bool { _, err := f.fleet.Client.StatusOf("n0"); return err != nil }, 15*time.Second, 20*time.Millisecond, "it keeps the log no more")
+	require.Eventually(t, func() bool { _, err := f.cluster.Client.StatusOf("n0"); return err != nil }, 15*time.Second, 20*time.Millisecond, "it keeps the log no more")
 	require.NoError(t, n0.FailDisk(""))
 	require.Eventually(t, has, 20*time.Second, 20*time.Millisecond, "it keeps it again")
 	assert.Equal(t, was, identity("n0"), "what is on a full disk holds")
@@ -176,27 +176,27 @@
 	require.NoError(t, n0.FailDisk("sync"))
 	_, err = f.apply(ctx, rollout.Command{Undrain: &rollout.Holder{Name: "e3", Engine: true}})
 	require.NoError(t, err)
-	require.Eventually(t, func() bool { _, err := f.fleet.Client.StatusOf("n0"); return err != nil }, 15*time.Second, 20*time.Millisecond)
+	require.Eventually(t, func() bool { _, err := f.cluster.Client.StatusOf("n0"); return err != nil }, 15*time.Second, 20*time.Millisecond)
 	require.NoError(t, n0.FailDisk(""))
 	require.Eventually(t, func() bool { id := identity("n0"); return id != "" && id != was && has() }, 20*time.Second, 20*time.Millisecond,
 		"a disk in doubt is another keeper's")
 
 	// A majority in doubt: nothing is agreed, nothing set aside, and all serve on.
 	var before []string
-	for _, m := range f.fleet.Members[:2] {
+	for _, m := range f.cluster.Members[:2] {
 		before = append(before, identity(m.Name))
 		require.NoError(t, m.FailDisk("sync"))
 	}
-	_, _ = f.fleet.Client.Apply(rollout.Command{ID: "lost", By: "a test", Tick: &struct{}{}})
-	require.Eventually(t, func() bool { return f.state() == nil }, 15*time.Second, 20*time.Millisecond)
+	_, _ = f.cluster.Client.Apply(rollout.Command{ID: "lost", By: "a test", Tick: &struct{}{}})
+	require.Eventually(t, func() bool { return f.leaderStatus() == nil }, 15*time.Second, 20*time.Millisecond)
 	assertServes(t, ctx, f)
-	for i, m := range f.fleet.Members[:2] {
+	for i, m := range f.cluster.Members[:2] {
 		require.NoError(t, m.FailDisk(""))
 		text, err := os.ReadFile(filepath.Join(m.Disk(), "identity"))
 		require.NoError(t, err)
 		assert.Equal(t, before[i], strings.TrimSpace(string(text)), "%s has set a disk aside of which a majority was in doubt", m.Name)
 	}
-	for _, m := range f.fleet.Members {
+	for _, m := range f.cluster.Members {
 		for _, p := range m.Processes() {
 			assert.True(t, p.Killed || p.Ended.IsZero(), "%s ended by itself", m.Name)
 		}
@@ -216,7 +216,7 @@
 	run := []engine.Execution{{Engine: "e1", ID: "served", Class: "load", Sent: due, Ended: due.Add(time.Second), Good: true}}
 	for stood, want := range map[bool][]string{true: {"none"}, false: {"failed", "served", "none"}} {
 		var got []string
-		for _, b := range Check(Classes, judged(all, func(string, time.Time, time.Time) bool { return stood }), run, func(string) *Drains { return nil }, nil) {
+		for _, b := range Check(Classes, judgedRequests(all, func(string, time.Time, time.Time) bool { return stood }), run, func(string) *Drains { return nil }, nil) {
 			assert.Equal(t, UnansweredOne, b.Rule)
 			got = append(got, b.ID)
 		}
