--- a/internal/drill/catalogue.go
+++ b/internal/drill/catalogue.go
@@ -13,7 +13,6 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"beechcart/internal/standin/changelog"
 	"beechcart/internal/standin/consul"
 	"beechcart/internal/standin/engine"
 )
@@ -475,42 +474,3 @@
 	}
 	return false
 }
-
-// CPUSeconds is the CPU time of a process so far, in seconds.
-func CPUSeconds(pid int) float64 {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
-	if err != nil {
-		return 0
-	}
-	f := strings.Fields(string(text[strings.LastIndexByte(string(text), ')')+1:]))
-	if len(f) < 13 {
-		return 0
-	}
-	user, _ := strconv.ParseFloat(f[11], 64)
-	system, _ := strconv.ParseFloat(f[12], 64)
-	return (user + system) / 100
-}
-
-// naive is the baseline: it obeys every answer of the catalogue as it is, by way of a change log. A failing check, a
-// short list or an empty one takes engines out at once, and an older answer puts them back.
-type naive struct {
-	log  *changelog.Log
-	stop context.CancelFunc
-}
-
-func newNaive(catalogue string) (*naive, error) {
-	l, err := changelog.Start("127.0.0.1:0")
-	if err != nil {
-		return nil, fmt.Errorf("drill: %w", err)
-	}
-	n := &naive{log: l}
-	var ctx context.Context
-	ctx, n.stop = context.WithCancel(context.Background())
-	go n.run(ctx, catalogue)
-	return n, nil
-}
-
-func (n *naive) close() {
-	n.stop()
-	n.log.Close()
-}
--- a/internal/drill/naive.go
+++ b/internal/drill/naive.go
@@ -12,6 +12,30 @@
 	"beechcart/internal/standin/consul"
 )
 
+// naive is the baseline: it obeys every answer of the catalogue as it is, by way of a change log. A failing check, a
+// short list or an empty one takes engines out at once, and an older answer puts them back.
+type naive struct {
+	log  *changelog.Log
+	stop context.CancelFunc
+}
+
+func newNaive(catalogue string) (*naive, error) {
+	l, err := changelog.Start("127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("drill: %w", err)
+	}
+	n := &naive{log: l}
+	var ctx context.Context
+	ctx, n.stop = context.WithCancel(context.Background())
+	go n.run(ctx, catalogue)
+	return n, nil
+}
+
+func (n *naive) close() {
+	n.stop()
+	n.log.Close()
+}
+
 // run reads the catalogue as the first lines of its page say, and obeys.
 func (n *naive) run(ctx context.Context, catalogue string) {
 	index := "0"
