Split the measurement of the ordinary path by job, and write its statement once

Change: testbed, client, scenario, path, speed, idle and process, each a file with one job; a client holds its session and its ids, a pool holds clients, heap costs are a type. drill.Statement makes the statement for both. Ids of requests start anew for each client.

--- a/internal/bench/list.go
+++ b/internal/bench/list.go
@@ -91,10 +91,8 @@
 	figures := map[string]float64{"entries": float64(o.Entries), "listed_s": time.Since(began).Seconds()}
 	reads, cpu := cat.Reads(), drill.CPUSeconds(f.Pid())
 	from := time.Now()
-	select {
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	case <-time.After(time.Duration(o.Seconds) * time.Second):
+	if err := wait(ctx, time.Duration(o.Seconds)*time.Second); err != nil {
+		return nil, err
 	}
 	minutes := time.Since(from).Minutes()
 	figures["still_cpu_s_per_min"] = (drill.CPUSeconds(f.Pid()) - cpu) / minutes
@@ -128,21 +126,3 @@
 	}
 	return figures, nil
 }
-
-// resident is the memory of a process, now and at its peak, in MB.
-func resident(pid int) (now, peak float64) {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	if err != nil {
-		return 0, 0
-	}
-	read := func(name string) float64 {
-		for _, l := range strings.Split(string(text), "\n") {
-			if rest, ok := strings.CutPrefix(l, name+":"); ok {
-				kb, _ := strconv.ParseFloat(strings.Fields(rest)[0], 64)
-				return kb / 1024
-			}
-		}
-		return 0
-	}
-	return read("VmRSS"), read("VmHWM")
-}
--- /dev/null
+++ b/internal/bench/scenario.go
@@ -0,0 +1,72 @@
+package bench
+
+import (
+	"fmt"
+	"strconv"
+	"time"
+
+	"beechcart/internal/drill"
+	"beechcart/internal/standin/engine"
+)
+
+// Scenario is one kind of request whose cost is counted.
+type Scenario struct {
+	Name  string
+	class string
+	limit time.Duration // the client's time limit
+	fresh bool          // each on a session of its own: connect, login and query in one, quit
+}
+
+const refusalScenario = "refusal"
+
+// Scenarios are the kinds of request that Path counts.
+var Scenarios = []Scenario{
+	lookupScenario,
+	{"report", "report", 8 * time.Second, false},
+	{"large", "load", 8 * time.Second, false},
+	{refusalScenario, "lookup", 10 * time.Millisecond, false},
+	{"session", "lookup", 2500 * time.Millisecond, true},
+}
+
+var lookupScenario = Scenario{"lookup", "lookup", 2500 * time.Millisecond, false}
+
+// results are the classes of the stub engines: results of 1 KB, 48 KB in 8 pages, and 0.95 MB in 140 pages.
+var results = map[string]engine.Class{
+	"lookup": {Threads: 1, Rows: 42},
+	"report": {Threads: 1, Rows: 240, Pages: 8},
+	"load":   {Threads: 1, Rows: 200, Pages: 140},
+}
+
+// statement returns a query of the scenario under an id.
+func (s Scenario) statement(id uint64) string {
+	return drill.Statement(s.class, fmt.Sprintf("%016x", id), s.limit, int(id%drill.Schemas))
+}
+
+// rows is the number of rows of one result.
+func (s Scenario) rows() int {
+	class := results[s.class]
+	return max(1, class.Pages) * max(1, class.Rows)
+}
+
+// resultBytes is the size of one result as the engine sends it.
+func (s Scenario) resultBytes() float64 {
+	const idBytes, lengthBytes = 16, 1 // each of the three cells begins with its length
+	n := 0
+	for row := range s.rows() {
+		n += lengthBytes + idBytes
+		n += lengthBytes + len(engineName(0))
+		n += lengthBytes + len(strconv.Itoa(row))
+	}
+	return float64(n)
+}
+
+// repeats is how many requests of the scenario make one count: large ones are fewer.
+func (s Scenario) repeats(lookups int) int {
+	switch s.Name {
+	case "report":
+		return max(20, lookups/5)
+	case "large":
+		return max(10, lookups/50)
+	}
+	return lookups
+}
--- /dev/null
+++ b/internal/bench/speed.go
@@ -0,0 +1,179 @@
+package bench
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Speed is what a front end does at full load and at a steady rate.
+type Speed struct {
+	CPUPerLookup float64 // microseconds of user and system time, closed loop
+	Saturated    float64 // lookups a second, closed loop
+	P50, P99     float64 // milliseconds, open arrivals at the rate asked for, from the time each was due
+	P999         float64
+}
+
+// SpeedOptions are what Measure takes.
+type SpeedOptions struct {
+	Program  string
+	Engines  int
+	Sessions int           // in the closed loop
+	For      time.Duration // each part
+	Rate     float64       // open arrivals a second; 0: that part is left out
+	Idle     int           // further sessions that do nothing
+}
+
+// Measure runs lookups through a front end on one core.
+func Measure(ctx context.Context, o SpeedOptions) (Speed, error) {
+	var speed Speed
+	settings := ""
+	if o.Idle > 0 {
+		settings = idleSettings(o.Idle)
+	}
+	t, err := newTestbed(testbedOptions{program: o.Program, engines: o.Engines, sockets: max(2048, idleSockets(o.Idle)), settings: settings})
+	if err != nil {
+		return speed, err
+	}
+	defer t.close()
+	idle, err := t.openIdle(o.Idle)
+	defer closeAll(idle)
+	if err != nil {
+		return speed, err
+	}
+	if _, err := t.closedLoop(ctx, o.Sessions, o.For/4); err != nil { // warm-up
+		return speed, err
+	}
+	cpu, began := cpuNanos(t.front.Pid()), time.Now()
+	lookups, err := t.closedLoop(ctx, o.Sessions, o.For)
+	if err != nil {
+		return speed, err
+	}
+	speed.CPUPerLookup = float64(cpuNanos(t.front.Pid())-cpu) / 1000 / float64(lookups)
+	speed.Saturated = float64(lookups) / time.Since(began).Seconds()
+	if o.Rate == 0 {
+		return speed, nil
+	}
+	latencies, err := t.openLoop(ctx, o.Rate, o.For)
+	if err != nil {
+		return speed, err
+	}
+	speed.P50, speed.P99, speed.P999 = quantileMS(latencies, 50), quantileMS(latencies, 99), quantileMS(latencies, 99.9)
+	return speed, nil
+}
+
+// quantileMS returns a percentile, in milliseconds, of a histogram of nanoseconds.
+func quantileMS(h *hdrhistogram.Histogram, percentile float64) float64 {
+	return float64(h.ValueAtQuantile(percentile)) / 1e6
+}
+
+// closedLoop makes lookups for that long on several sessions, each as soon as the one before is answered, and returns how
+// many were made.
+func (t *testbed) closedLoop(ctx context.Context, sessions int, d time.Duration) (int, error) {
+	var workers sync.WaitGroup
+	var mu sync.Mutex
+	var first error
+	total, end := 0, time.Now().Add(d)
+	for worker := range sessions {
+		workers.Go(func() {
+			n, err := t.lookupUntil(ctx, end, workerIDs(worker))
+			mu.Lock()
+			defer mu.Unlock()
+			total += n
+			if first == nil {
+				first = err
+			}
+		})
+	}
+	workers.Wait()
+	return total, errors.Join(first, ctx.Err())
+}
+
+// workerIDs returns an id after which those of a worker follow, apart from those of other workers and of earlier loops.
+func workerIDs(worker int) uint64 {
+	const workerShift = 48
+	return uint64(worker+1)<<workerShift + uint64(time.Now().UnixNano())&(1<<(workerShift-1)-1)
+}
+
+// lookupUntil makes lookups on one session until a time, ctx ends or one fails, and returns how many were made.
+func (t *testbed) lookupUntil(ctx context.Context, end time.Time, id uint64) (n int, err error) {
+	c := &client{scenario: lookupScenario, address: t.front.Addr}
+	defer c.close()
+	for time.Now().Before(end) && err == nil && ctx.Err() == nil {
+		id++
+		n++
+		err = c.request(id)
+	}
+	return n, err
+}
+
+// openLoop makes lookups at a fixed rate for that long, whether or not earlier ones are answered. It returns their latencies
+// in nanoseconds, each from the time at which the lookup was due.
+func (t *testbed) openLoop(ctx context.Context, rate float64, d time.Duration) (*hdrhistogram.Histogram, error) {
+	latencies := hdrhistogram.New(1000, int64(time.Minute), 3)
+	var mu sync.Mutex
+	var first error
+	var requests sync.WaitGroup
+	pool := newClientPool(t.front.Addr)
+	began, interval := time.Now(), time.Duration(float64(time.Second)/rate)
+	for i := 0; time.Duration(i)*interval < d && ctx.Err() == nil; i++ {
+		due := began.Add(time.Duration(i) * interval)
+		if ahead := time.Until(due); ahead > 0 {
+			time.Sleep(ahead)
+		}
+		requests.Go(func() {
+			c := pool.take()
+			err := c.request(uint64(1)<<62 + uint64(due.UnixNano()))
+			took := time.Since(due)
+			pool.give(c)
+			mu.Lock()
+			defer mu.Unlock()
+			if first == nil {
+				first = err
+			}
+			_ = latencies.RecordValue(int64(took))
+		})
+	}
+	requests.Wait()
+	pool.close()
+	return latencies, errors.Join(first, ctx.Err())
+}
+
+// clientPool keeps clients for lookups that have nothing to do. It is safe for concurrent use.
+type clientPool struct {
+	address string
+	free    chan *client
+}
+
+func newClientPool(address string) *clientPool {
+	const maxFree = 4096
+	return &clientPool{address, make(chan *client, maxFree)}
+}
+
+func (p *clientPool) take() *client {
+	select {
+	case c := <-p.free:
+		return c
+	default:
+		return &client{scenario: lookupScenario, address: p.address}
+	}
+}
+
+func (p *clientPool) give(c *client) {
+	select {
+	case p.free <- c:
+	default:
+		c.close()
+	}
+}
+
+// close closes all clients of the pool, once all were given back.
+func (p *clientPool) close() {
+	close(p.free)
+	for c := range p.free {
+		c.close()
+	}
+}
--- /dev/null
+++ b/internal/bench/testbed.go
@@ -0,0 +1,152 @@
+package bench
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"beechcart/internal/door"
+	"beechcart/internal/drill"
+	"beechcart/internal/standin/changelog"
+	"beechcart/internal/standin/engine"
+)
+
+// listTimeout is how long a front end may take to read its list of engines.
+const listTimeout = 10 * time.Second
+
+// testbedOptions are what a testbed is started with.
+type testbedOptions struct {
+	program  string // the front end
+	engines  int
+	sockets  int    // limit of the front end
+	settings string // operators' settings as built JSON; empty: none
+	withDoor bool   // open the door to the front end's accounting
+}
+
+// testbed is a front end with the stub servers that it needs.
+type testbed struct {
+	dir     string
+	log     *changelog.Log
+	engines []*engine.Engine
+	front   *drill.Front
+	door    *door.Client // nil without one
+}
+
+// newTestbed starts a front end on stub engines that answer at once. Probes are off: the controller sends them by time, and
+// they would be counted as a request's cost.
+func newTestbed(o testbedOptions) (_ *testbed, err error) {
+	t := &testbed{}
+	defer func() {
+		if err != nil {
+			t.close()
+		}
+	}()
+	if t.dir, err = os.MkdirTemp("", "bench"); err != nil {
+		return nil, err
+	}
+	if t.log, err = changelog.Start("127.0.0.1:0"); err != nil {
+		return nil, err
+	}
+	if err = t.startEngines(o.engines); err != nil {
+		return nil, err
+	}
+	if err = t.startFront(o); err != nil {
+		return nil, err
+	}
+	return t, nil
+}
+
+// close stops all processes and removes all files.
+func (t *testbed) close() {
+	if t.door != nil {
+		t.door.Close()
+	}
+	if t.front != nil {
+		_ = t.front.Stop()
+	}
+	for _, e := range t.engines {
+		e.Kill()
+	}
+	if t.log != nil {
+		t.log.Close()
+	}
+	_ = os.RemoveAll(t.dir)
+}
+
+// engineName is the name under which an engine answers. All have the same length, so that all results have the same size.
+func engineName(i int) string { return "s-0000000" + strconv.Itoa(i%10) }
+
+// startEngines starts stub engines and lists them in the change log.
+func (t *testbed) startEngines(n int) error {
+	var endpoints []changelog.Endpoint
+	for i := range n {
+		e, err := engine.Start("127.0.0.1:0", engine.Options{Name: engineName(i), Cores: 64, Sessions: 10_000, Classes: results})
+		if err != nil {
+			return err
+		}
+		t.engines = append(t.engines, e)
+		endpoints = append(endpoints, changelog.Endpoint{Name: fmt.Sprintf("s-%08x", i+1), Address: e.Addr, Zone: "room-a", Type: "std-4", Status: "ready"})
+	}
+	t.log.Tell(true, endpoints...)
+	return nil
+}
+
+// startFront starts the front end, and returns once it has listed all engines.
+func (t *testbed) startFront(o testbedOptions) error {
+	listed := make(chan struct{}, 4096)
+	options := drill.FrontOptions{
+		Program:   o.program,
+		Dir:       t.dir,
+		Name:      "n0",
+		MemoryMB:  512,
+		Sockets:   o.sockets,
+		ChangeLog: t.log.Addr,
+		Settings:  o.settings,
+		Facts:     strings.Replace(drill.Facts, `"probes":true`, `"probes":false`, 1),
+		Line: func(line string) {
+			if _, ok := drill.ParseListed(line); ok {
+				listed <- struct{}{}
+			}
+		},
+	}
+	if o.withDoor {
+		theirs, err := t.openDoor()
+		if err != nil {
+			return err
+		}
+		defer theirs.Close()
+		options.Files, options.Env = []*os.File{theirs}, []string{door.Env + "=3"}
+	}
+	var err error
+	if t.front, err = drill.StartFront(options); err != nil {
+		return err
+	}
+	return awaitListed(listed, o.engines)
+}
+
+// openDoor makes the pair of sockets of the door, and returns the one for the front end.
+func (t *testbed) openDoor() (theirs *os.File, err error) {
+	pair, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return nil, err
+	}
+	t.door = door.NewClient(os.NewFile(uintptr(pair[0]), "door"))
+	return os.NewFile(uintptr(pair[1]), "door"), nil
+}
+
+// awaitListed returns once n engines were listed.
+func awaitListed(listed <-chan struct{}, n int) error {
+	for range n {
+		select {
+		case <-listed:
+		case <-time.After(listTimeout):
+			return errors.New("bench: the front end has not taken its list")
+		}
+	}
+	return nil
+}
--- a/internal/drill/load.go
+++ b/internal/drill/load.go
@@ -35,6 +35,15 @@
 	Wrong      Outcome = "wrong"           // rows that no engine made for it, or what is no answer
 )
 
+// Statement returns a query as the platform's clients write it: a hint with class, id and time limit, and a table of one of
+// the tenant's schemas.
+func Statement(class, id string, limit time.Duration, schema int) string {
+	return fmt.Sprintf("/* c=%s,i=%s,d=%d,t=south-grain,h=20.0,need_mb=16 */ SELECT a FROM sales_%d.orders", class, id, limit.Milliseconds(), schema)
+}
+
+// Schemas is the number of schemas that clients query.
+const Schemas = 20
+
 // Request is one request, from its client's view.
 type Request struct {
 	ID      string
@@ -87,7 +96,7 @@
 		for r.Class = 0; r.Class < len(l.Classes)-1 && draw >= l.Classes[r.Class].Share; r.Class++ {
 			draw -= l.Classes[r.Class].Share
 		}
-		addr, group := "", l.Rand.IntN(20)
+		addr, group := "", l.Rand.IntN(Schemas)
 		if l.Pick == nil {
 			addr = l.Addrs[l.Rand.IntN(len(l.Addrs))]
 		}
@@ -148,7 +157,7 @@
 
 func (l *Load) one(r *Request, addr string, group int) {
 	c := l.Classes[r.Class]
-	statement := fmt.Sprintf("/* c=%s,i=%s,d=%d,t=south-grain,h=20.0,need_mb=16 */ SELECT a FROM sales_%d.orders", c.Name, r.ID, c.Wait.Milliseconds(), group)
+	statement := Statement(c.Name, r.ID, c.Wait, group)
 	for try, doors := 0, 0; ; try++ {
 		if l.Pick != nil {
 			addr = l.Pick()
