Split the fleet commands of beechctl by job, and spell names out

Change: fleet.go holds the shared flags, client, apply and wait; status, drain and release have files of their own. Progress of a command and the flags of a release are types; refusals become an answer of no in one place; tables are made in one place for all commands. Printed text, flags and exit codes are as they were.

--- a/cmd/beechctl/bench.go
+++ b/cmd/beechctl/bench.go
@@ -7,7 +7,6 @@
 	"maps"
 	"slices"
 	"strings"
-	"text/tabwriter"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -107,7 +106,7 @@
 }
 
 func writeCounts(w io.Writer, counts map[string]bench.Counts) error {
-	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	t := newTable(w)
 	for _, s := range bench.Scenarios {
 		fmt.Fprintf(t, "%s\n", s.Name)
 		for _, name := range slices.Sorted(maps.Keys(counts[s.Name])) {
@@ -129,7 +128,7 @@
 			if o.Program, err = drill.Program(o.Program); err != nil {
 				return err
 			}
-			t := tabwriter.NewWriter(c.OutOrStdout(), 0, 0, 2, ' ', 0)
+			t := newTable(c.OutOrStdout())
 			fmt.Fprintln(t, "ROUND\tBUILD\tCPU us/LOOKUP\tLOOKUPS/s\tP50 ms\tP99 ms\tP99.9 ms")
 			for round := range rounds {
 				for _, program := range []string{against, o.Program} {
--- /dev/null
+++ b/cmd/beechctl/fleet_release.go
@@ -0,0 +1,169 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"beechcart/decision/rollout"
+	"beechcart/internal/fleet"
+)
+
+func (f *fleetCommands) releaseCommand() *cobra.Command {
+	root := &cobra.Command{Use: "release", Short: "Bring the fleet to a revision, in waves, with halt and way back"}
+	root.AddCommand(f.releasePlanCommand(), f.releaseStartCommand(), f.releaseStatusCommand(),
+		f.releaseStepCommand("halt", "Let nobody more go out; with --wait until all that were told to go are seen out",
+			rollout.Command{Halt: &rollout.Halt{Cause: "by an operator"}}, rollout.Halted),
+		f.releaseStepCommand("resume", "Go on with a release that was halted", rollout.Command{Resume: &struct{}{}}, rollout.Done),
+		f.releaseStepCommand("back", "Bring all back to the old revision", rollout.Command{WayBack: &struct{}{}}, rollout.Done))
+	return root
+}
+
+// releaseFlags are the flags of the commands that describe a release.
+type releaseFlags struct {
+	waves, from string
+	soak        time.Duration
+}
+
+func (r *releaseFlags) add(c *cobra.Command) {
+	c.Flags().StringVar(&r.waves, "waves", "0.02,0.25,1", "shares of the fleet, rising to 1; the first is the canary")
+	c.Flags().DurationVar(&r.soak, "soak", 5*time.Minute, "how long each wave serves before the next")
+	c.Flags().StringVar(&r.from, "from", "", "the revision of the way back; none: what most serve on")
+}
+
+// start returns the release of a revision that the flags describe.
+func (r *releaseFlags) start(revision string) (rollout.Start, error) {
+	start := rollout.Start{Revision: revision, From: r.from, Soak: r.soak}
+	for _, text := range strings.Split(r.waves, ",") {
+		share, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+		if err != nil {
+			return start, fmt.Errorf("waves: found %q, allowed are shares as in 0.02,0.25,1", text)
+		}
+		start.Waves = append(start.Waves, share)
+	}
+	return start, nil
+}
+
+func (f *fleetCommands) releasePlanCommand() *cobra.Command {
+	var flags releaseFlags
+	c := &cobra.Command{
+		Use: "plan REVISION", Short: "Show waves and the longest time, and touch nothing", Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			start, err := flags.start(args[0])
+			if err != nil {
+				return err
+			}
+			client, err := f.client()
+			if err != nil {
+				return err
+			}
+			waves, err := client.Plan(start)
+			if err != nil {
+				return refusalAsNo(err)
+			}
+			if f.json {
+				return printJSON(c.OutOrStdout(), waves)
+			}
+			return writePlan(c.OutOrStdout(), waves)
+		},
+	}
+	flags.add(c)
+	return c
+}
+
+func writePlan(w io.Writer, waves []rollout.Wave) error {
+	t := newTable(w)
+	fmt.Fprintln(t, "WAVE\tFRONT ENDS\tAT ONCE\tLONGEST\tWHO")
+	longest := time.Duration(0)
+	for i, wave := range waves {
+		longest += wave.Longest
+		fmt.Fprintf(t, "%d\t%d\t%d\t%v\t%s\n", i+1, len(wave.Members), wave.AtOnce, wave.Longest, clip(strings.Join(wave.Members, " ")))
+	}
+	fmt.Fprintf(t, "in all\t\t\t%v\n", longest)
+	return t.Flush()
+}
+
+// clip shortens a list of names for a table.
+func clip(names string) string {
+	const width, ellipsis = 60, "..."
+	if len(names) > width {
+		return names[:width-len(ellipsis)] + ellipsis
+	}
+	return names
+}
+
+func (f *fleetCommands) releaseStartCommand() *cobra.Command {
+	var flags releaseFlags
+	c := &cobra.Command{
+		Use: "start REVISION", Short: "Begin a release", Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			start, err := flags.start(args[0])
+			if err != nil {
+				return err
+			}
+			result, err := f.apply(c, rollout.Command{Start: &start})
+			if err != nil || !f.wait {
+				return err
+			}
+			return f.waitUntil(c, func(status fleet.Status) (progress, error) { return releaseProgress(status, result.Release) })
+		},
+	}
+	flags.add(c)
+	f.addWaitFlags(c)
+	return c
+}
+
+// releaseProgress tells whether a release is done. One that a later one has replaced is done too; one that was halted is an
+// answer of no.
+func releaseProgress(status fleet.Status, number uint64) (progress, error) {
+	release := status.State.Release
+	switch {
+	case release == nil || release.Number != number:
+		return progress{done: true}, nil
+	case release.State == rollout.Halted || release.State == rollout.Halting:
+		return progress{waitFor: status.Waiting}, noError{fmt.Errorf("halted: %s", release.Cause)}
+	}
+	return progress{release.State == rollout.Done, status.Waiting}, nil
+}
+
+func (f *fleetCommands) releaseStatusCommand() *cobra.Command {
+	return &cobra.Command{
+		Use: "status", Short: "Show the release and what it waits for", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			status, err := f.status()
+			if err != nil {
+				return err
+			}
+			if f.json {
+				return printJSON(c.OutOrStdout(), struct {
+					Release *rollout.Release `json:"release"`
+					Waiting []string         `json:"waiting"`
+				}{status.State.Release, status.Waiting})
+			}
+			writeRelease(c.OutOrStdout(), status)
+			return nil
+		},
+	}
+}
+
+// releaseStepCommand is a command on the release that is active. With --wait it returns once the release is in that state.
+func (f *fleetCommands) releaseStepCommand(use, short string, command rollout.Command, done rollout.Condition) *cobra.Command {
+	c := &cobra.Command{
+		Use: use, Short: short, Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if _, err := f.apply(c, command); err != nil || !f.wait {
+				return err
+			}
+			return f.waitUntil(c, func(status fleet.Status) (progress, error) {
+				release := status.State.Release
+				return progress{release == nil || release.State == done, status.Waiting}, nil
+			})
+		},
+	}
+	f.addWaitFlags(c)
+	return c
+}
--- /dev/null
+++ b/cmd/beechctl/fleet_status.go
@@ -0,0 +1,195 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"beechcart/decision/rollout"
+	"beechcart/internal/fleet"
+)
+
+func (f *fleetCommands) statusCommand() *cobra.Command {
+	return &cobra.Command{
+		Use: "status", Short: "Members, engines, permits, budgets and the release", Args: cobra.NoArgs,
+		Example: "  beechctl fleet status --settings beechcart.json\n  beechctl fleet status --json",
+		RunE: func(c *cobra.Command, _ []string) error {
+			status, err := f.status()
+			if err != nil {
+				return err
+			}
+			if f.json {
+				return printJSON(c.OutOrStdout(), status)
+			}
+			return writeStatus(c.OutOrStdout(), status)
+		},
+	}
+}
+
+func (f *fleetCommands) auditCommand() *cobra.Command {
+	return &cobra.Command{
+		Use: "audit", Short: "Who changed what, when", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			status, err := f.status()
+			if err != nil {
+				return err
+			}
+			lines := status.State.Audit
+			if f.json {
+				if lines == nil {
+					lines = []rollout.Line{}
+				}
+				return printJSON(c.OutOrStdout(), lines)
+			}
+			return writeAudit(c.OutOrStdout(), lines)
+		},
+	}
+}
+
+func (f *fleetCommands) wantedCommand() *cobra.Command {
+	return &cobra.Command{
+		Use: "wanted NAME", Short: "Print the revision that a front end is to be started on; exit code 1 while it is drained", Args: cobra.ExactArgs(1),
+		Long: "What starts programs at an installation asks this before it starts a front end that has ended with code 75 or 76,\n" +
+			"and switches the link to the revision's folder. Exit code 1: it is drained; ask again.",
+		RunE: func(c *cobra.Command, args []string) error {
+			status, err := f.status()
+			if err != nil {
+				return err
+			}
+			revision, err := wantedRevision(&status.State, args[0])
+			if err != nil {
+				return err
+			}
+			_, err = fmt.Fprintln(c.OutOrStdout(), revision)
+			return err
+		},
+	}
+}
+
+// wantedRevision returns the revision that a front end is to be started on. It is an answer of no while it is drained.
+func wantedRevision(state *rollout.State, name string) (string, error) {
+	member := state.Members[name]
+	if member == nil {
+		return "", noError{fmt.Errorf("there is no front end %s", name)}
+	}
+	for _, permit := range state.Permits {
+		if permit.Holder == name && !permit.Engine && permit.For == rollout.Drain && !permit.Lifted {
+			return "", noError{fmt.Errorf("%s is drained by %s", name, permit.By)}
+		}
+	}
+	return member.Wanted, nil
+}
+
+// writeStatus prints a status for people.
+func writeStatus(w io.Writer, status fleet.Status) error {
+	t := newTable(w)
+	agreed := "agreed"
+	if status.Leader == "" {
+		agreed = "NO AGREEMENT: nobody goes out, and all serve on"
+	}
+	fmt.Fprintf(t, "log of %s: entry %d, %d keepers, %s\n\n", status.Keeper, status.Index, len(status.Servers), agreed)
+	permits := permitsByHolder(&status.State)
+	writeMembers(t, status, permits)
+	writeEngines(t, status, permits)
+	writeBudgets(t, status)
+	writeRelease(t, status)
+	return t.Flush()
+}
+
+// permitsByHolder returns the permits by who holds them.
+func permitsByHolder(state *rollout.State) map[rollout.Holder]*rollout.Permit {
+	permits := map[rollout.Holder]*rollout.Permit{}
+	for _, permit := range state.Permits {
+		permits[rollout.Holder{Name: permit.Holder, Engine: permit.Engine}] = permit
+	}
+	return permits
+}
+
+func writeMembers(w io.Writer, status fleet.Status, permits map[rollout.Holder]*rollout.Permit) {
+	fmt.Fprintln(w, "FRONT END\tROOM\tREVISION\tSTATE\tPERMIT\tSINCE")
+	for _, name := range slices.Sorted(maps.Keys(status.State.Members)) {
+		member := status.State.Members[name]
+		phase, held := string(member.Phase), ""
+		if member.Doubted {
+			phase += ", not heard of"
+		}
+		if permit := permits[rollout.Holder{Name: name}]; permit != nil {
+			held = fmt.Sprintf("%d %s %s", permit.Number, permit.For, permit.Revision)
+		}
+		since := (time.Duration(time.Now().UnixNano()) - member.Changed).Round(time.Second)
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\n", name, member.Room, member.Revision, phase, held, since)
+	}
+}
+
+func writeEngines(w io.Writer, status fleet.Status, permits map[rollout.Holder]*rollout.Permit) {
+	fmt.Fprintln(w, "\nENGINE\tROOM\tCORES\tSTATE\tPERMIT\tWAITS FOR")
+	for _, name := range slices.Sorted(maps.Keys(status.State.Engines)) {
+		engine := status.State.Engines[name]
+		held, waits := "", ""
+		if permit := permits[rollout.Holder{Name: name, Engine: true}]; permit != nil {
+			held = fmt.Sprintf("%d drain", permit.Number)
+			if waits = strings.Join(status.Blocks[name], "; "); permit.MayStop > 0 {
+				waits = "may be stopped"
+			}
+		}
+		fmt.Fprintf(w, "%s\t%s\t%g\t%s\t%s\t%s\n", name, engine.Room, engine.Cores, engineState(engine), held, waits)
+	}
+}
+
+func engineState(e *rollout.Engine) string {
+	switch {
+	case !e.Listed:
+		return "not listed"
+	case !e.Ready:
+		return "not ready"
+	}
+	return "ready"
+}
+
+func writeBudgets(w io.Writer, status fleet.Status) {
+	fmt.Fprintln(w, "\nBUDGET\tOF\tMAY BE OUT\tARE OUT")
+	for _, budget := range status.Budgets {
+		fmt.Fprintf(w, "%s\t%s, %d\t%d\t%s\n", budget.Of, budget.Scope, budget.N, budget.Limit, strings.Join(budget.Out, " "))
+	}
+}
+
+func writeAudit(w io.Writer, lines []rollout.Line) error {
+	t := newTable(w)
+	for _, line := range lines {
+		at := time.Unix(0, int64(line.At)).Format(time.RFC3339)
+		fmt.Fprintf(t, "%d\t%s\t%s\t%s\t%s\t%s\n", line.Number, at, line.By, line.What, line.From, line.To)
+	}
+	return t.Flush()
+}
+
+// writeRelease prints the last release, if there was one.
+func writeRelease(w io.Writer, status fleet.Status) {
+	release := status.State.Release
+	if release == nil {
+		fmt.Fprintln(w, "\nno release yet")
+		return
+	}
+	way, target := "to "+release.Revision+" from "+release.From, release.Revision
+	if release.Back {
+		way, target = "back to "+release.From+" from "+release.Revision, release.From
+	}
+	onTarget := 0
+	for _, member := range status.State.Members {
+		if member.Revision == target {
+			onTarget++
+		}
+	}
+	fmt.Fprintf(w, "\nrelease %d %s: %s, wave %d of %d, %d of %d on it, by %s\n", release.Number, way, release.State,
+		release.Wave+1, len(release.Waves), onTarget, len(status.State.Members), release.By)
+	if release.Cause != "" {
+		fmt.Fprintf(w, "  halted: %s\n", release.Cause)
+	}
+	for _, line := range status.Waiting {
+		fmt.Fprintf(w, "  waits for %s\n", line)
+	}
+}
--- a/cmd/beechctl/list.go
+++ b/cmd/beechctl/list.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"text/tabwriter"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -82,7 +81,7 @@
 }
 
 func writeList(w io.Writer, list []source.Belief) error {
-	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	t := newTable(w)
 	fmt.Fprintln(t, "ENGINE\tID\tADDRESS\tSTATE\tREASON\tZONE\tKIND\tWEIGHT\tSINCE")
 	for _, b := range list {
 		since := "long ago"
--- a/cmd/beechctl/main.go
+++ b/cmd/beechctl/main.go
@@ -60,9 +60,12 @@
 	return exitFailed
 }
 
+// newTable returns a writer that aligns cells, which tabs separate, in columns. The caller must flush it.
+func newTable(w io.Writer) *tabwriter.Writer { return tabwriter.NewWriter(w, 0, 0, 2, ' ', 0) }
+
 // printTable prints names and figures, one a line, by name.
 func printTable[V any](w io.Writer, format string, figures map[string]V) error {
-	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	t := newTable(w)
 	for _, name := range slices.Sorted(maps.Keys(figures)) {
 		fmt.Fprintf(t, "%s\t"+format+"\n", name, figures[name])
 	}
