Split the stub Consul server by job: model, registry, agent, catalogue, routes, reads

Change: a file for each part of its API and one for its state; bodies are named types, states of checks constants; the fault Garbage is Malformed (the fault kind of the drill keeps its name). Answers are as they were.

--- a/internal/drill/catalogue.go
+++ b/internal/drill/catalogue.go
@@ -232,7 +232,7 @@
 	{"stale", false, faulty(func(w *player) consul.Faults { return consul.Faults{Stale: true, Lag: w.draw(0, 5*time.Second)} }, time.Second, 6*time.Second)},
 	{"back", false, faulty(func(w *player) consul.Faults { return consul.Faults{Back: 1 + uint64(w.draw(0, 500))} }, 500*time.Millisecond, 4*time.Second)},
 	{"half", false, faulty(func(w *player) consul.Faults { return consul.Faults{Half: true} }, 500*time.Millisecond, 3*time.Second)},
-	{"garbage", false, faulty(func(w *player) consul.Faults { return consul.Faults{Garbage: true} }, 500*time.Millisecond, 3*time.Second)},
+	{"garbage", false, faulty(func(w *player) consul.Faults { return consul.Faults{Malformed: true} }, 500*time.Millisecond, 3*time.Second)},
 	{"denied", false, func(ctx context.Context, w *player, _ *unit) {
 		w.cat.SetTokens("another")
 		pause(ctx, w.draw(500*time.Millisecond, 3*time.Second))
--- a/internal/standin/consul/consul_test.go
+++ b/internal/standin/consul/consul_test.go
@@ -119,7 +119,7 @@
 	require.NoError(t, err)
 	assert.False(t, meta.KnownLeader)
 	assert.Equal(t, 3*time.Second, meta.LastContact)
-	for _, f := range []Faults{{Status: 500}, {Status: 429}, {Half: true}, {Garbage: true}} {
+	for _, f := range []Faults{{Status: 500}, {Status: 429}, {Half: true}, {Malformed: true}} {
 		_, _, err := read(f)
 		assert.Error(t, err, f)
 	}
--- a/internal/standin/consul/reads.go
+++ b/internal/standin/consul/reads.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"net/url"
 	"slices"
 	"strconv"
 	"time"
@@ -11,7 +12,7 @@
 // The bounds of a blocking query's wait.
 const (
 	defaultWait = 5 * time.Minute
-	mostWait    = 10 * time.Minute
+	maxWait     = 10 * time.Minute
 )
 
 // health answers GET /v1/health/service/NAME, with the faults in force.
@@ -32,22 +33,10 @@
 		return
 	}
 	if f.Status > 0 {
-		text := "No cluster leader"
-		if f.Status == http.StatusTooManyRequests {
-			text = "Your IP is issuing too many concurrent connections"
-		}
-		http.Error(w, text, f.Status)
+		http.Error(w, statusText(f.Status), f.Status)
 		return
 	}
-	list := snap.list
-	if r.URL.Query().Has("passing") {
-		list = slices.DeleteFunc(slices.Clone(list), func(in Instance) bool {
-			return slices.ContainsFunc(in.Checks, func(c Check) bool { return c.Status != "passing" })
-		})
-	}
-	for _, tag := range r.URL.Query()["tag"] {
-		list = slices.DeleteFunc(slices.Clone(list), func(in Instance) bool { return !slices.Contains(in.Service.Tags, tag) })
-	}
+	list := filter(snap.list, r.URL.Query())
 	switch {
 	case f.Empty:
 		list = []Instance{}
@@ -56,28 +45,49 @@
 	}
 	s.write(w, snap.index, f, list, func() {
 		s.mu.Lock()
-		told := s.answered
+		onAnswer := s.onAnswer
 		s.mu.Unlock()
-		if told != nil {
-			told(name, list)
+		if onAnswer != nil {
+			onAnswer(name, list)
 		}
 	})
 }
 
+// statusText is the body of an answer that has no list.
+func statusText(status int) string {
+	if status == http.StatusTooManyRequests {
+		return "Your IP is issuing too many concurrent connections"
+	}
+	return "No cluster leader"
+}
+
+// filter returns the instances that a query asks for, by their checks and tags.
+func filter(list []Instance, query url.Values) []Instance {
+	if query.Has("passing") {
+		list = slices.DeleteFunc(slices.Clone(list), func(in Instance) bool {
+			return slices.ContainsFunc(in.Checks, func(c Check) bool { return c.Status != passing })
+		})
+	}
+	for _, tag := range query["tag"] {
+		list = slices.DeleteFunc(slices.Clone(list), func(in Instance) bool { return !slices.Contains(in.Service.Tags, tag) })
+	}
+	return list
+}
+
 // block waits as a blocking query does, and returns the state to answer with.
 func (s *Server) block(r *http.Request, name string) (snapshot, Faults, bool) {
 	q := r.URL.Query()
 	index, _ := strconv.ParseUint(q.Get("index"), 10, 64)
 	wait := defaultWait
 	if d, err := time.ParseDuration(q.Get("wait")); err == nil && d > 0 {
-		wait = min(d, mostWait)
+		wait = min(d, maxWait)
 	}
 	timer := time.NewTimer(wait + wait/32)
 	defer timer.Stop()
 	for over := false; ; {
 		s.mu.Lock()
 		f, changed := s.faults, s.changed
-		snap := snapshot{max(s.byName[name], 1), s.list(name)}
+		snap := snapshot{max(s.byName[name], 1), s.instances(name)}
 		if old, ok := s.stale[name]; ok && f.Stale {
 			snap = old
 		}
@@ -105,6 +115,7 @@
 	}
 }
 
+// sleep waits; false when the request ended first.
 func sleep(r *http.Request, d time.Duration) bool {
 	select {
 	case <-time.After(d):
@@ -127,7 +138,7 @@
 	h.Set("X-Consul-KnownLeader", strconv.FormatBool(!f.NoLeader))
 	h.Set("X-Consul-LastContact", strconv.FormatInt(f.Lag.Milliseconds(), 10))
 	switch {
-	case f.Garbage:
+	case f.Malformed:
 		body = []byte("<html>502 somewhere between</html>")
 	case f.Half:
 		h.Set("Content-Length", strconv.Itoa(len(body)))
@@ -137,7 +148,7 @@
 	if _, err := w.Write(body); err != nil {
 		return
 	}
-	if http.NewResponseController(w).Flush() == nil && done != nil && !f.Garbage {
+	if http.NewResponseController(w).Flush() == nil && done != nil && !f.Malformed {
 		done()
 	}
 }
@@ -157,28 +168,3 @@
 	s.mu.Unlock()
 	s.write(w, index, Faults{}, list, nil)
 }
-
-// catalog answers GET /v1/catalog/service/NAME, which knows no checks.
-func (s *Server) catalog(w http.ResponseWriter, r *http.Request) {
-	type row struct {
-		ID, Node, Address, Datacenter          string
-		NodeMeta                               map[string]string
-		ServiceID, ServiceName, ServiceAddress string
-		ServicePort                            int
-		ServiceTags                            []string
-		ServiceMeta                            map[string]string
-		ServiceWeights                         Weights
-		CreateIndex, ModifyIndex               uint64
-	}
-	snap, _, ok := s.block(r, r.PathValue("name"))
-	if !ok {
-		return
-	}
-	rows := []row{}
-	for _, in := range snap.list {
-		rows = append(rows, row{in.Node.ID, in.Node.Node, in.Node.Address, in.Node.Datacenter, in.Node.Meta, in.Service.ID,
-			in.Service.Service, in.Service.Address, in.Service.Port, in.Service.Tags, in.Service.Meta, in.Service.Weights,
-			in.Service.CreateIndex, in.Service.ModifyIndex})
-	}
-	s.write(w, snap.index, Faults{}, rows, nil)
-}
