Test the progress of fleet commands, and the rule of empty engines

Cause: the fleet commands of beechctl had no test, and not_empty none of its bounds; both could only be tested once they were functions of their own. Change: tests of wantedRevision, drainProgress, releaseProgress, the flags of a release, and checkEmptiness. Nothing else.

--- /dev/null
+++ b/cmd/beechctl/fleet_test.go
@@ -0,0 +1,86 @@
+package main
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"beechcart/decision/rollout"
+	"beechcart/internal/fleet"
+)
+
+func TestWantedRevision(t *testing.T) {
+	state := &rollout.State{
+		Members: map[string]*rollout.Member{"n0": {Wanted: "r2"}, "n1": {Wanted: "r2"}},
+		Permits: map[uint64]*rollout.Permit{
+			1: {Holder: "n1", For: rollout.Drain, By: "ops"},
+			2: {Holder: "n0", For: rollout.Drain, Engine: true}, // of an engine with the name of a front end
+			3: {Holder: "n0", For: rollout.Drain, Lifted: true},
+		},
+	}
+	revision, err := wantedRevision(state, "n0")
+	require.NoError(t, err)
+	assert.Equal(t, "r2", revision)
+	for name, want := range map[string]string{"n1": "n1 is drained by ops", "n2": "there is no front end n2"} {
+		_, err := wantedRevision(state, name)
+		assert.True(t, errors.As(err, new(noError)), name)
+		assert.EqualError(t, err, want)
+	}
+}
+
+func TestDrainProgress(t *testing.T) {
+	status := fleet.Status{Blocks: map[string][]string{"e0": {"n0 has a query on it"}}}
+	status.State.Permits = map[uint64]*rollout.Permit{1: {Holder: "e0", Engine: true}, 2: {Holder: "e1", Engine: true, MayStop: 1}, 3: {Holder: "n0"}, 4: {Holder: "n1"}}
+	status.State.Members = map[string]*rollout.Member{"n0": {Phase: rollout.Serving}, "n1": {Phase: rollout.Gone}}
+	for _, k := range []struct {
+		holder rollout.Holder
+		permit uint64
+		want   progress
+	}{
+		{rollout.Holder{Name: "e0", Engine: true}, 1, progress{false, []string{"n0 has a query on it"}}},
+		{rollout.Holder{Name: "e1", Engine: true}, 2, progress{done: true}},
+		{rollout.Holder{Name: "n0"}, 3, progress{false, []string{"n0 to end"}}},
+		{rollout.Holder{Name: "n1"}, 4, progress{true, []string{"n1 to end"}}},
+	} {
+		got, err := drainProgress(status, k.holder, k.permit)
+		require.NoError(t, err)
+		assert.Equal(t, k.want, got, k.holder.Name)
+	}
+	_, err := drainProgress(status, rollout.Holder{Name: "e0", Engine: true}, 9)
+	assert.True(t, errors.As(err, new(noError)), "a permit that was lifted is an answer of no")
+}
+
+func TestReleaseProgress(t *testing.T) {
+	status := fleet.Status{Waiting: []string{"n2 to serve"}}
+	at := func(state rollout.Condition) (progress, error) {
+		status.State.Release = &rollout.Release{Number: 3, State: state, Cause: "errors"}
+		return releaseProgress(status, 3)
+	}
+	got, err := at(rollout.Running)
+	require.NoError(t, err)
+	assert.Equal(t, progress{false, status.Waiting}, got)
+	got, err = at(rollout.Done)
+	require.NoError(t, err)
+	assert.True(t, got.done)
+	for _, state := range []rollout.Condition{rollout.Halting, rollout.Halted} {
+		_, err = at(state)
+		assert.True(t, errors.As(err, new(noError)))
+		assert.EqualError(t, err, "halted: errors")
+	}
+	got, err = releaseProgress(status, 2)
+	require.NoError(t, err)
+	assert.True(t, got.done, "a later release has replaced it")
+}
+
+func TestReleaseFlags(t *testing.T) {
+	flags := releaseFlags{waves: "0.02, 0.25,1", from: "r1", soak: time.Minute}
+	start, err := flags.start("r2")
+	require.NoError(t, err)
+	assert.Equal(t, rollout.Start{Revision: "r2", From: "r1", Waves: []float64{0.02, 0.25, 1}, Soak: time.Minute}, start)
+	flags.waves = "0.02,x"
+	_, err = flags.start("r2")
+	assert.ErrorContains(t, err, `waves: found "x"`)
+}
--- /dev/null
+++ b/internal/drill/rollout_checks_test.go
@@ -0,0 +1,38 @@
+package drill
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"beechcart/internal/standin/engine"
+)
+
+// Guards against a rule that can't fail: an execution counts that began in the period, or that went on into it.
+func TestExecutionsOnAnEmptyEngineAreFound(t *testing.T) {
+	from := time.Date(2026, 12, 1, 12, 0, 0, 0, time.UTC)
+	at := func(ms int) time.Time { return from.Add(time.Duration(ms) * time.Millisecond) }
+	c := &rolloutChecker{emptyPeriods: []emptyPeriod{{"e1", period{at(0), at(1000)}}}}
+	for name, k := range map[string]struct {
+		engine    string
+		sent, end time.Time
+		want      bool
+	}{
+		"before":                 {"e1", at(-500), at(-100), false},
+		"ended within the grace": {"e1", at(-500), at(50), false},
+		"ended after the grace":  {"e1", at(-500), at(51), true},
+		"never ended":            {"e1", at(-500), time.Time{}, true},
+		"began in the period":    {"e1", at(1), at(2), true},
+		"began after the stop":   {"e1", at(1000), at(1100), false},
+		"on another engine":      {"e2", at(1), at(2), false},
+	} {
+		c.violations = nil
+		c.checkEmptiness([]engine.Execution{{Engine: k.engine, ID: "a", Sent: k.sent, Ended: k.end}})
+		if !k.want {
+			assert.Empty(t, c.violations, name)
+		} else if assert.Len(t, c.violations, 1, name) {
+			assert.Equal(t, NotEmpty, c.violations[0].Rule)
+		}
+	}
+}
