--- a/internal/drill/catalogue.go
+++ b/internal/drill/catalogue.go
@@ -1,7 +1,6 @@
 package drill
 
 import (
-	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -14,7 +13,6 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"beechcart/internal/standin/changelog"
 	"beechcart/internal/standin/consul"
 	"beechcart/internal/standin/engine"
 )
@@ -43,7 +41,7 @@
 	wrote   map[string]time.Time // when a change of an engine was written to the catalogue
 	seen    *hdrhistogram.Histogram
 	ready   map[string]bool // by what the front end has logged
-	gaps    []Breach
+	gaps    []Violation
 	changes int
 }
 
@@ -150,7 +148,7 @@
 
 // draw is a time between both, drawn from the seed.
 func (w *player) draw(low, high time.Duration) time.Duration {
-	return low + time.Duration(w.rng.Int64N(int64(high-low)+1))
+	return between(w.rng, low, high)
 }
 
 // fault is one kind of trouble: it plays out, and leaves all well again.
@@ -234,7 +232,7 @@
 	{"stale", false, faulty(func(w *player) consul.Faults { return consul.Faults{Stale: true, Lag: w.draw(0, 5*time.Second)} }, time.Second, 6*time.Second)},
 	{"back", false, faulty(func(w *player) consul.Faults { return consul.Faults{Back: 1 + uint64(w.draw(0, 500))} }, 500*time.Millisecond, 4*time.Second)},
 	{"half", false, faulty(func(w *player) consul.Faults { return consul.Faults{Half: true} }, 500*time.Millisecond, 3*time.Second)},
-	{"garbage", false, faulty(func(w *player) consul.Faults { return consul.Faults{Garbage: true} }, 500*time.Millisecond, 3*time.Second)},
+	{"garbage", false, faulty(func(w *player) consul.Faults { return consul.Faults{Malformed: true} }, 500*time.Millisecond, 3*time.Second)},
 	{"denied", false, func(ctx context.Context, w *player, _ *unit) {
 		w.cat.SetTokens("another")
 		pause(ctx, w.draw(500*time.Millisecond, 3*time.Second))
@@ -282,7 +280,7 @@
 func (w *player) play(ctx context.Context, engines bool) {
 	var list []fault
 	for _, f := range faults {
-		if f.engine == engines && (w.opt.Faults == "all" || w.opt.Faults == f.name) {
+		if f.engine == engines && w.opt.plays(f.name) {
 			list = append(list, f)
 		}
 	}
@@ -326,7 +324,7 @@
 		}
 	}
 	if was > 0 && w.readyCount() == 0 {
-		w.gaps = append(w.gaps, Breach{NoEngine, l.At, "", "the front end has no engine left"})
+		w.gaps = append(w.gaps, Violation{NoEngine, l.At, "", "the front end has no engine left"})
 	}
 }
 
@@ -411,14 +409,7 @@
 	progress := make(chan struct{})
 	go func() {
 		defer close(progress)
-		for i := 1; i <= o.Seconds; i++ {
-			if !pause(play, time.Until(began.Add(time.Duration(i)*time.Second))) {
-				return
-			}
-			if o.Step != nil {
-				o.Step(i, o.Seconds)
-			}
-		}
+		showProgress(play, began, o)
 	}()
 	requests := load.Run(ctx, time.Duration(o.Seconds)*time.Second)
 	enough()
@@ -439,11 +430,11 @@
 	for _, e := range w.dead {
 		runs = append(runs, e.Executions()...)
 	}
-	breaches := append(Check(Classes, requests, runs, func(string) *Drains { return &w.drains }, load.surplus), w.gaps...)
+	violations := append(Check(Classes, requests, runs, func(string) *Drains { return &w.drains }, load.surplus), w.gaps...)
 	if stopped != nil {
-		breaches = append(breaches, Breach{Crashes, time.Now(), "", stopped.Error()})
+		violations = append(violations, Violation{Crashes, time.Now(), "", stopped.Error()})
 	}
-	slices.SortStableFunc(breaches, func(a, b Breach) int { return cmp.Compare(a.At.UnixNano(), b.At.UnixNano()) })
+	sortByTime(violations)
 	for at := began; at.Before(began.Add(time.Duration(o.Seconds) * time.Second)); at = at.Add(time.Second) {
 		if v := Service(Classes, requests, at, at.Add(time.Second)); v < 0.9 {
 			o.note("service %.2f in the second from %s", v, at.Format("15:04:05.000"))
@@ -464,10 +455,8 @@
 		figures["told_p99_ms"] = float64(w.seen.ValueAtQuantile(99)) / 1000
 		figures["told_count"] = float64(w.seen.TotalCount())
 	}
-	for _, r := range requests {
-		figures[string(r.Outcome)]++
-	}
-	return newReport("catalogue", o.Seed, breaches, figures), nil
+	countOutcomes(figures, requests)
+	return newReport("catalogue", o.Seed, violations, figures), nil
 }
 
 // settled waits until the front end has listed all engines.
@@ -485,42 +474,3 @@
 	}
 	return false
 }
-
-// CPUSeconds is the CPU time of a process so far, in seconds.
-func CPUSeconds(pid int) float64 {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
-	if err != nil {
-		return 0
-	}
-	f := strings.Fields(string(text[strings.LastIndexByte(string(text), ')')+1:]))
-	if len(f) < 13 {
-		return 0
-	}
-	user, _ := strconv.ParseFloat(f[11], 64)
-	system, _ := strconv.ParseFloat(f[12], 64)
-	return (user + system) / 100
-}
-
-// naive is the baseline: it obeys every answer of the catalogue as it is, by way of a change log. A failing check, a
-// short list or an empty one takes engines out at once, and an older answer puts them back.
-type naive struct {
-	log  *changelog.Log
-	stop context.CancelFunc
-}
-
-func newNaive(catalogue string) (*naive, error) {
-	l, err := changelog.Start("127.0.0.1:0")
-	if err != nil {
-		return nil, fmt.Errorf("drill: %w", err)
-	}
-	n := &naive{log: l}
-	var ctx context.Context
-	ctx, n.stop = context.WithCancel(context.Background())
-	go n.run(ctx, catalogue)
-	return n, nil
-}
-
-func (n *naive) close() {
-	n.stop()
-	n.log.Close()
-}
