--- a/internal/engine/attempt.go
+++ b/internal/engine/attempt.go
@@ -197,10 +197,10 @@
 		a.unproved = a.c
 	}
 	// Guards against late sends: the wait for a connection may have outlasted the word that the engine drains,
-	// the request, the time left, or the window for repeats. Whether anyone still waits is the exchange's word alone: where nothing may be cancelled, nobody
-	// gives the attempt up as its client leaves.
+	// the request, the time left, or the window for repeats. Whether anyone still waits is asked of the exchange: where nothing may be
+	// cancelled, nobody gives the attempt up as its client leaves.
 	late := time.Until(a.due) < time.Millisecond || (!a.by.IsZero() && time.Now().After(a.by))
-	if late || a.stopped() || a.x.Settled() || !a.peer.isReady() {
+	if late || a.stopped() || !a.peer.isReady() || a.x.Abandoned() {
 		a.fleet.opt.Counters.Add("unsent", 1)
 		return admission.Moot
 	}
--- a/internal/engine/attempt_test.go
+++ b/internal/engine/attempt_test.go
@@ -382,3 +382,23 @@
 	f.Start(newExchange(), 0, 7, admission.Terms{Priority: 1}, time.Second, time.Time{})
 	assert.Equal(t, admission.ConnectFailed, (<-s).Status)
 }
+
+// goneClient is a client that has gone.
+type goneClient struct{ looks int }
+
+func (c *goneClient) LeaveIfGone(x *exchange.Exchange) bool {
+	c.looks++
+	return x.Settle(exchange.Answer{Kind: exchange.Left})
+}
+
+// The client has gone, and its session has not heard of it yet: the last look before the POST finds out.
+func TestAnAttemptLooksForItsClientLast(t *testing.T) {
+	f, s, _, e := newFleet(t, 100, nil)
+	x := newExchange()
+	client := &goneClient{}
+	x.Client = client
+	f.Start(x, 0, 7, admission.Terms{Priority: 1}, 10*time.Second, time.Time{})
+	assert.Equal(t, admission.Moot, (<-s).Status)
+	assert.Equal(t, 1, client.looks)
+	assert.Zero(t, e.count("POST"))
+}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -57,10 +57,18 @@
 	return nil
 }
 
+// Client is where a request came from.
+type Client interface {
+	// LeaveIfGone looks whether the client has gone, and settles its exchange where it has. It may be called from any goroutine.
+	LeaveIfGone(x *Exchange) (gone bool)
+}
+
 // Exchange carries one request to its one final answer, whoever settles it first.
 type Exchange struct {
 	Request
 	Arrived time.Time // carries the monotonic clock
+	Client  Client    // set before the exchange is handed on; nil: nobody can tell
+
 	settled atomic.Bool
 	answer  Answer
 	done    chan struct{}
@@ -84,6 +92,12 @@
 // Settled tells whether the final answer was given.
 func (x *Exchange) Settled() bool { return x.settled.Load() }
 
+// Abandoned tells whether nobody waits for an answer any more. Unlike Settled it looks at the client itself, which costs a system call:
+// the client may have gone while this process had no core, and its session not yet have heard of it.
+func (x *Exchange) Abandoned() bool {
+	return x.Settled() || (x.Client != nil && x.Client.LeaveIfGone(x))
+}
+
 // Done is closed once the final answer is there.
 func (x *Exchange) Done() <-chan struct{} { return x.done }
 
--- a/internal/mysql/server.go
+++ b/internal/mysql/server.go
@@ -83,6 +83,7 @@
 	srv    *Server
 	id     uint32
 	conn   netpoll.Connection
+	fd     int32 // of the connection; -1: not known
 	seq    byte
 	logged bool
 	asked  bool // it has sent a command
@@ -197,7 +198,7 @@
 // accepted lists a connection as soon as the machine has handed it over. It runs on the goroutine that all connections are read by,
 // so it must end none: the library would wait there for itself.
 func (s *Server) accepted(c netpoll.Connection) context.Context {
-	ses := &session{srv: s, conn: c, since: time.Now()}
+	ses := &session{srv: s, conn: c, fd: descriptor(c), since: time.Now()}
 	s.mu.Lock()
 	// The id lets anyone end the session's query, so it can't be guessed.
 	for ses.id == 0 || s.sessions.byID[ses.id] != nil {
@@ -514,6 +515,7 @@
 		return s.fail(codeParse, "42000", err.Error())
 	}
 	x := exchange.New(req, arrived)
+	x.Client = s
 	s.enter(serving)
 	switch ok, killed := s.hold(x); {
 	case !ok:
