--- a/cmd/beechcart/helper_test.go
+++ b/cmd/beechcart/helper_test.go
@@ -16,6 +16,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -52,6 +53,7 @@
 	config, path string // as written last, and where
 	settings     string // the file of the operators' settings; empty: none
 	facts        string // the platform's settings; empty: facts
+	feed         string // the change log's address; empty: the rig serves it
 
 	mu     sync.Mutex
 	events []string
@@ -99,7 +101,10 @@
 // start runs the program of the rig.
 func (r *rig) start(sockets int, engines ...*engine) *rig {
 	t := r.t
-	feed := serve(t, r.changes)
+	feed := r.feed
+	if feed == "" {
+		feed = serve(t, r.changes)
+	}
 	r.addr = "127.0.0.1:0" // the machine chooses a port that nobody has; the log tells which
 	var list []string
 	for _, e := range engines {
@@ -262,6 +267,8 @@
 	pages  []string
 	handle func(call string, w http.ResponseWriter, q *http.Request) bool
 
+	probes atomic.Int64 // that were answered
+
 	mu    sync.Mutex
 	calls []string // such as "POST 9b1f03aa5c7e2d41", "GET 0", "DELETE"
 	heads []http.Header
@@ -288,6 +295,7 @@
 func (e *engine) ServeHTTP(w http.ResponseWriter, q *http.Request) {
 	if q.URL.Path == "/-/gauges" {
 		w.Header().Set("X-Gauges", "util:0.10")
+		e.probes.Add(1)
 		return
 	}
 	call := q.Method
