Measure what single parts cost as the fleet grows: beechctl scale parts

Package internal/scale/parts measures eight parts at five sizes and several times: the control log's state, a replica with a watch of each front end, lists of databases, whom front ends speak to (simulation of the admission controllers), one front end by sessions, statements and logins, the same by its list, its start, and a change of its source at SIGHUP. The replica is a process of its own, so that its CPU is told from its clients'.

No recording is made yet.

--- a/cmd/beechctl/scale.go
+++ b/cmd/beechctl/scale.go
@@ -8,7 +8,7 @@
 
 func scaleCommand() *cobra.Command {
 	root := &cobra.Command{Use: "scale", Short: "Run a fleet at planning size on this machine", Args: cobra.NoArgs}
-	root.AddCommand(scaleHostCommand())
+	root.AddCommand(scaleHostCommand(), scalePartsCommand())
 	return root
 }
 
--- /dev/null
+++ b/cmd/beechctl/scale_parts.go
@@ -0,0 +1,158 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"runtime"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"beechcart/internal/drill"
+	"beechcart/internal/scale/parts"
+	"beechcart/internal/scale/record"
+)
+
+// scalePartsFlags are what the command line of scale parts sets.
+type scalePartsFlags struct {
+	options parts.Options
+	members []int
+	record  string
+	notes   []string
+}
+
+// scalePartsCommand measures single parts of the program as the fleet grows.
+func scalePartsCommand() *cobra.Command {
+	f := scalePartsFlags{options: parts.Defaults()}
+	var names []string
+	for _, p := range parts.All() {
+		names = append(names, p.Name)
+	}
+	c := &cobra.Command{
+		Use: "parts [flags] NAME...", Short: "Measure what single parts cost as the fleet grows", Args: cobra.MinimumNArgs(1), ValidArgs: names,
+		Long:    "parts measures, at each size and several times, what can be seen in one process, at one control replica or at one front end:\n" + partList(),
+		Example: "  beechctl scale parts state --record bench/scale\n  beechctl scale parts lists --members 50,100 --repeats 1",
+		RunE:    func(c *cobra.Command, args []string) error { return f.run(c, args) },
+	}
+	flags := c.Flags()
+	flags.IntSliceVar(&f.members, "members", parts.DefaultMembers, "front ends of each size; databases come in the planned proportion, 810 to 710")
+	flags.IntVar(&f.options.Repeats, "repeats", f.options.Repeats, "how often each size is measured")
+	flags.IntSliceVar(&f.options.Sessions, "sessions", f.options.Sessions, "client connections of one front end, rising")
+	flags.IntSliceVar(&f.options.Rates, "rates", f.options.Rates, "statements a second to one front end")
+	flags.DurationVar(&f.options.Window, "window", f.options.Window, "how long each measurement goes on that goes on for a time")
+	flags.IntVar(&f.options.Starts, "starts", f.options.Starts, "starts of a front end at each size and repeat")
+	flags.IntVar(&f.options.TrafficFronts, "traffic-fronts", f.options.TrafficFronts, "most front ends that are simulated at each size")
+	flags.DurationVar(&f.options.TrafficTime, "traffic-time", f.options.TrafficTime, "simulated time of those")
+	flags.DurationVar(&f.options.FleetTime, "fleet-time", f.options.FleetTime, "simulated time of whole fleets")
+	flags.StringVar(&f.record, "record", "", "directory to write parts-NAME.json to; none: only print")
+	flags.StringSliceVar(&f.notes, "note", nil, "what a reader of the recording has to know of this run")
+	programFlag(c, &f.options.Program)
+	c.AddCommand(scalePartsReplicaCommand())
+	return c
+}
+
+func partList() string {
+	var b strings.Builder
+	t := tabwriter.NewWriter(&b, 0, 0, 2, ' ', 0)
+	for _, p := range parts.All() {
+		fmt.Fprintf(t, "  %s\t%s\n", p.Name, p.Summary)
+	}
+	_ = t.Flush()
+	return b.String()
+}
+
+// scalePartsReplicaCommand is the process that the part replica measures.
+func scalePartsReplicaCommand() *cobra.Command {
+	return &cobra.Command{
+		Use: "serve-replica", Short: "Run the control replica that the part replica measures", Args: cobra.NoArgs, Hidden: true,
+		RunE: func(c *cobra.Command, _ []string) error { return parts.ServeReplica(os.Stdin, c.OutOrStdout()) },
+	}
+}
+
+func (f *scalePartsFlags) run(c *cobra.Command, names []string) error {
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	f.options.ReplicaArgs = []string{self, "scale", "parts", "serve-replica"}
+	f.options.Progress = func(text string) { fmt.Fprintln(c.ErrOrStderr(), text) }
+	f.options.Sizes = nil
+	for _, members := range f.members {
+		f.options.Sizes = append(f.options.Sizes, parts.SizeOf(members))
+	}
+	for _, name := range names {
+		part, err := parts.Find(name)
+		if err != nil {
+			return err
+		}
+		if err := f.measure(c, part); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// measure measures one part, prints it and keeps it where a directory is named. What was measured before a failure is printed, and not kept.
+func (f *scalePartsFlags) measure(c *cobra.Command, part parts.Part) error {
+	if part.StartsFrontEnd {
+		var err error
+		if f.options.Program, err = drill.Program(f.options.Program); err != nil {
+			return err
+		}
+	}
+	began := time.Now()
+	result, err := part.Measure(c.Context(), f.options)
+	if printed := printSamples(c.OutOrStdout(), result.Samples); printed != nil || err != nil {
+		return errors.Join(err, printed)
+	}
+	if f.record == "" {
+		return nil
+	}
+	r := record.Recording{Name: "parts-" + part.Name, Command: f.commandLine(c, part.Name), At: began.UTC().Truncate(time.Second), Commit: commitOfTree(c.Context()),
+		Cores: runtime.NumCPU(), Notes: append(result.Notes, f.notes...), Samples: result.Samples}
+	if err := r.Save(f.record); err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(c.OutOrStdout(), "recorded %s/%s.json\n", f.record, r.Name)
+	return err
+}
+
+// commandLine is the command that measures the part again, with the flags that were set.
+func (f *scalePartsFlags) commandLine(c *cobra.Command, name string) string {
+	words := []string{"beechctl", "scale", "parts", name}
+	for _, flag := range []string{"members", "repeats", "sessions", "rates", "window", "starts", "traffic-fronts", "traffic-time", "fleet-time"} {
+		if set := c.Flags().Lookup(flag); set.Changed {
+			words = append(words, "--"+flag, strings.Trim(set.Value.String(), "[]"))
+		}
+	}
+	return strings.Join(append(words, "--record", f.record), " ")
+}
+
+// commitOfTree is the commit of the tree that the command runs in, with "+" where files differ from it; empty where that is not known.
+func commitOfTree(ctx context.Context) string {
+	head, err := exec.CommandContext(ctx, "git", "rev-parse", "--short=12", "HEAD").Output()
+	if err != nil {
+		return ""
+	}
+	commit := strings.TrimSpace(string(head))
+	if exec.CommandContext(ctx, "git", "diff", "--quiet", "HEAD", "--", "*.go").Run() != nil {
+		commit += "+"
+	}
+	return commit
+}
+
+// printSamples prints one line for each sample, in their order.
+func printSamples(w io.Writer, samples []record.Sample) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "ROLE\tQUANTITY\tFRONT ENDS\tDATABASES\tSESSIONS\tRATE\tREPEAT\tVALUE")
+	for _, s := range samples {
+		fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%.6g\n", s.Role, s.Quantity, s.Size.Members, s.Size.Engines, s.Size.Sessions, s.Size.Rate, s.Repeat, s.Value)
+	}
+	return t.Flush()
+}
--- /dev/null
+++ b/internal/scale/parts/lists.go
@@ -0,0 +1,213 @@
+package parts
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"beechcart/admission"
+	"beechcart/decision/watch"
+	"beechcart/internal/drill"
+	"beechcart/internal/roster"
+	"beechcart/internal/scale/record"
+	"beechcart/internal/settings"
+	"beechcart/internal/standin/changelog"
+	"beechcart/internal/standin/consul"
+)
+
+const (
+	listSeed      = 1
+	startedMillis = 1_770_000_000_000 // Unix time at which the databases of lists have started
+	pollWait      = 10 * time.Millisecond
+)
+
+// endpointOf is one database as the change log tells of it, with addresses as long as real ones.
+func endpointOf(i int, status string) changelog.Endpoint {
+	return changelog.Endpoint{Name: engineName(i), Address: fmt.Sprintf("10.%d.%d.%d:8400", 20+i%zones, i/200, 10+i%200), Zone: zoneName(i), Type: "std-4",
+		Status: status, SinceMS: startedMillis + int64(i)}
+}
+
+func endpointsOf(n int) (list []changelog.Endpoint) {
+	for i := range n {
+		list = append(list, endpointOf(i, "ready"))
+	}
+	return list
+}
+
+// factsOf are the settings of one front end of a fleet.
+func factsOf(me, members int) (admission.Settings, settings.Names, error) {
+	set, names, err := settings.Parse([]byte(drill.Facts))
+	set.Me, set.Replicas = me, members
+	for i := range set.Tenants {
+		set.Tenants[i].AllowPerS = 2 * PlannedRate * float64(members)
+	}
+	return set, names, err
+}
+
+// measureLists measures what lists of databases weigh at their source and what they cost a front end to read.
+func measureLists(ctx context.Context, o *Options, c *collector) error {
+	c.note("bytes are those of the HTTP streams, question and answer, without headers of IP and TCP; entries are written by the stand-in change log and the stand-in Consul")
+	c.note("CPU of a list: the change log's reader (internal/roster) and the controller's step (admission), in this process")
+	return o.each(ctx, c, record.ChangeLog, func(p place) error {
+		if err := measureChangeLog(ctx, p); err != nil {
+			return err
+		}
+		if err := measureCatalogue(ctx, p); err != nil {
+			return err
+		}
+		return measureListReading(p)
+	})
+}
+
+// read gets a page and returns its body, and the bytes of question and answer.
+func read(ctx context.Context, url string) (body []byte, moved float64, err error) {
+	var traffic wire
+	client := traffic.client(1)
+	defer client.CloseIdleConnections()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, 0, err
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return nil, 0, err
+	}
+	defer response.Body.Close()
+	if body, err = io.ReadAll(response.Body); err != nil {
+		return nil, 0, err
+	}
+	return body, traffic.bytes(), nil
+}
+
+// measureChangeLog measures a whole list, a change of one database, and a poll that brings nothing.
+func measureChangeLog(ctx context.Context, p place) error {
+	log, err := changelog.Start("127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	log.Tell(true, endpointsOf(p.size.Engines)...)
+	log.Tell(false, endpointOf(0, "draining"))
+	poll := func(since int) (float64, error) {
+		_, moved, err := read(ctx, fmt.Sprintf("http://%s/changes?since=%d&timeout=%d", log.Addr, since, pollWait.Milliseconds()))
+		return moved, err
+	}
+	both, err := poll(0)
+	if err != nil {
+		return err
+	}
+	event, err := poll(1)
+	if err != nil {
+		return err
+	}
+	nothing, err := poll(2)
+	if err != nil {
+		return err
+	}
+	p.add("change_log_list_bytes", both-event+nothing)
+	p.add("change_log_event_bytes", event)
+	p.add("change_log_idle_poll_bytes", nothing)
+	set, _, err := factsOf(0, p.size.Members)
+	if err != nil {
+		return err
+	}
+	wait := watch.New(set.DrainGrace, 250*time.Millisecond).Wait()
+	p.as(record.FrontEnd).add("change_log_idle_polls_per_second", 1/wait.Seconds())
+	p.as(record.FrontEnd).add("change_log_idle_bytes_per_second", nothing/wait.Seconds())
+	return nil
+}
+
+// measureCatalogue measures one read of a Consul catalogue, which always is the whole list.
+func measureCatalogue(ctx context.Context, p place) error {
+	server, err := consul.Start("127.0.0.1:0", nil)
+	if err != nil {
+		return err
+	}
+	defer server.Close()
+	register(server, p.size.Engines)
+	body, moved, err := read(ctx, "http://"+server.Addr+"/v1/health/service/engine")
+	if err != nil {
+		return err
+	}
+	var instances []json.RawMessage
+	if err := json.Unmarshal(body, &instances); err != nil || len(instances) != p.size.Engines {
+		return fmt.Errorf("the catalogue answers with %d of %d databases: %w", len(instances), p.size.Engines, err)
+	}
+	p.add("consul_list_bytes", moved)
+	return nil
+}
+
+// register enters so many databases into a catalogue, one on each node.
+func register(server *consul.Server, engines int) {
+	for i := range engines {
+		e := endpointOf(i, "ready")
+		server.Register(consul.Node{Node: "node-" + strconv.Itoa(i), Address: fmt.Sprintf("127.1.%d.%d", i/200, 1+i%200), Datacenter: "dc1"},
+			consul.Service{ID: e.Name, Service: "engine", Port: 8400, Meta: map[string]string{"zone": e.Zone, "kind": e.Type}},
+			consul.Check{CheckID: "service:" + e.Name, Name: "Service 'engine' check", Status: "passing"})
+	}
+}
+
+// measureListReading measures the CPU of a whole list and of a change of one database.
+func measureListReading(p place) error {
+	set, names, err := factsOf(0, p.size.Members)
+	if err != nil {
+		return err
+	}
+	controller, err := admission.New(set, listSeed)
+	if err != nil {
+		return err
+	}
+	text, err := listText(p.size.Engines)
+	if err != nil {
+		return err
+	}
+	now := time.Duration(startedMillis) * time.Millisecond
+	take := func(changes *roster.Log, text []byte) error {
+		lists, err := changes.Read(text)
+		if err != nil {
+			return err
+		}
+		for _, list := range lists {
+			now += time.Millisecond
+			controller.Step(now, []admission.Event{list.Members()})
+		}
+		return nil
+	}
+	whole, err := cpuEach(func() error { return take(roster.NewLog(names), text) })
+	if err != nil {
+		return err
+	}
+	changes := roster.NewLog(names)
+	event, err := cpuEach(func() error {
+		seq := changes.Seq() + 2 // the first event is a whole list
+		status := []string{"draining", "ready"}[seq%2]
+		return take(changes, fmt.Appendf(nil, `{"seq":%d,"results":[{"seq":%d,"fleet":{"endpoints":[%s]}}]}`, seq, seq, entryText(0, status)))
+	})
+	if err != nil {
+		return err
+	}
+	p.as(record.FrontEnd).add("list_read_cpu_seconds", whole)
+	p.as(record.FrontEnd).add("list_event_cpu_seconds", event)
+	return nil
+}
+
+// listText is the change log's answer that holds one whole list.
+func listText(engines int) ([]byte, error) {
+	log, err := changelog.Start("127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	defer log.Close()
+	log.Tell(true, endpointsOf(engines)...)
+	text, _, err := read(context.Background(), "http://"+log.Addr+"/changes?since=0&timeout=0")
+	return text, err
+}
+
+func entryText(i int, status string) string {
+	e := endpointOf(i, status)
+	return fmt.Sprintf(`{"name":%q,"address":%q,"zone":%q,"type":%q,"group":0,"status":%q,"weight":1,"since_ms":%d}`, e.Name, e.Address, e.Zone, e.Type, e.Status, e.SinceMS)
+}
--- /dev/null
+++ b/internal/scale/parts/reload.go
@@ -0,0 +1,91 @@
+package parts
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"beechcart/internal/scale/record"
+	"beechcart/internal/standin/changelog"
+)
+
+const (
+	reloads      = 10
+	reloadedLine = "msg=reloaded"
+)
+
+// measureReload measures a change of a front end's configuration: both files are read again at SIGHUP, and the source of the list is all that changes.
+func measureReload(ctx context.Context, o *Options, c *collector) error {
+	c.note("each reload moves the front end to a change log at another address that holds the same events; what SIGHUP puts in force is the source of the list alone (cmd/beechcart/run.go: reload)")
+	c.note("each sample is the mean of %d reloads; the CPU counts from the signal until the new source's next event is in force", reloads)
+	return o.each(ctx, c, record.FrontEnd, func(p place) error { return measureReloadAt(ctx, o, p) })
+}
+
+func measureReloadAt(ctx context.Context, o *Options, p place) (err error) {
+	f, err := startFixture(fixtureOptions{program: o.Program, members: p.size.Members, engines: p.size.Engines})
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.Join(err, f.close()) }()
+	if _, err := f.await(listedLine, p.size.Engines); err != nil {
+		return err
+	}
+	var reloaded, followed time.Duration
+	began := processCPU(f.front.Pid())
+	for i := range reloads {
+		if err := ctx.Err(); err != nil {
+			return err
+		}
+		r, err := f.reload(p.size.Engines, i+1)
+		if err != nil {
+			return err
+		}
+		reloaded, followed = reloaded+r.reloaded, followed+r.followed
+	}
+	p.add("front_end_reload_seconds", reloaded.Seconds()/reloads)
+	p.add("front_end_reload_followed_seconds", followed.Seconds()/reloads)
+	p.add("front_end_reload_cpu_seconds", (processCPU(f.front.Pid())-began)/reloads)
+	return nil
+}
+
+// reload is what one change of the source took, since the signal.
+type reload struct {
+	reloaded time.Duration // until the front end has said so
+	followed time.Duration // until an event that only the new source tells of is in force
+}
+
+// reload moves the front end to a new change log, which holds the events so far and one more.
+func (f *fixture) reload(engines, events int) (r reload, err error) {
+	next, err := changelog.Start("127.0.0.1:0")
+	if err != nil {
+		return r, err
+	}
+	next.Tell(true, endpointsOf(engines)...)
+	for i := range events { // numbered on from the events that the front end holds
+		next.Tell(false, endpointOf(0, []string{"draining", "ready"}[i%2]))
+	}
+	path := filepath.Join(f.dir, "n0.json")
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return r, err
+	}
+	if err := os.WriteFile(path, []byte(strings.Replace(string(text), f.log.Addr, next.Addr, 1)), 0o600); err != nil {
+		return r, err
+	}
+	sent := time.Now()
+	if err := syscall.Kill(f.front.Pid(), syscall.SIGHUP); err != nil {
+		return r, fmt.Errorf("parts: SIGHUP: %w", err)
+	}
+	seen, err := f.awaitEach(reloadedLine, listedLine)
+	if err != nil {
+		return r, err
+	}
+	f.log.Close()
+	f.log = next
+	return reload{seen[0].Sub(sent), seen[1].Sub(sent)}, nil
+}
--- /dev/null
+++ b/internal/scale/parts/replicahost.go
@@ -0,0 +1,147 @@
+package parts
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"os/exec"
+	"time"
+
+	"beechcart/decision/rollout"
+	"beechcart/internal/fleet"
+)
+
+// ReplicaConfig is the line that a process of ServeReplica reads first.
+type ReplicaConfig struct {
+	Dir    string `json:"dir"`
+	Log    string `json:"log"`    // host:port on loopback, of the replicated log
+	Calls  string `json:"calls"`  // host:port on loopback, for members and operators
+	Gossip string `json:"gossip"` // host:port; nothing listens there
+	Key    string `json:"key"`
+}
+
+const (
+	replicaName  = "control-1"
+	replicaKey   = "0123456789abcdef"
+	replicaReady = "ready"
+)
+
+// ServeReplica runs a control log of one replica in this process, without membership and without a leader's periodic check, until
+// in ends. It reads a ReplicaConfig and writes a line once it leads. It is a process of its own so that its CPU can be told from its clients'.
+func ServeReplica(in io.Reader, out io.Writer) error {
+	reader := bufio.NewReader(in)
+	line, err := reader.ReadBytes('\n')
+	if err != nil {
+		return fmt.Errorf("parts: replica: %w", err)
+	}
+	var config ReplicaConfig
+	if err := json.Unmarshal(line, &config); err != nil {
+		return fmt.Errorf("parts: replica: %w", err)
+	}
+	replica, err := fleet.OpenKeeper(&fleet.Options{Name: replicaName, Room: zoneName(0), Revision: revision, Gossip: config.Gossip, Dir: config.Dir,
+		Key: config.Key, Settings: rollout.Defaults(), Log: slog.New(slog.DiscardHandler),
+		Keepers: []fleet.Address{{Name: replicaName, Log: config.Log, Ask: config.Calls, Gossip: config.Gossip}}})
+	if err != nil {
+		return err
+	}
+	defer replica.Close()
+	if err := replica.Init(); err != nil {
+		return fmt.Errorf("parts: replica: %w", err)
+	}
+	if err := untilLeads(replica); err != nil {
+		return err
+	}
+	if _, err := fmt.Fprintln(out, replicaReady); err != nil {
+		return err
+	}
+	_, err = io.Copy(io.Discard, reader)
+	return err
+}
+
+// leadsWithin bounds how long a log of one replica may take to elect itself.
+const leadsWithin = 30 * time.Second
+
+func untilLeads(replica *fleet.Keeper) error {
+	for end := time.Now().Add(leadsWithin); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if status, err := replica.Status(); err == nil && status.Leads {
+			return nil
+		}
+	}
+	return errors.New("parts: replica: it does not lead")
+}
+
+// replicaProcess is a process of ServeReplica.
+type replicaProcess struct {
+	config  ReplicaConfig
+	command *exec.Cmd
+	input   io.WriteCloser
+}
+
+// startReplica starts a process of ServeReplica and returns once it leads.
+func startReplica(ctx context.Context, args []string) (r *replicaProcess, err error) {
+	if len(args) == 0 {
+		return nil, errors.New("parts: replica: no command line given")
+	}
+	r = &replicaProcess{config: ReplicaConfig{Key: replicaKey}}
+	if r.config.Dir, err = os.MkdirTemp("", "parts"); err != nil {
+		return nil, err
+	}
+	defer func() {
+		if err != nil {
+			r.stop()
+		}
+	}()
+	for _, address := range []*string{&r.config.Log, &r.config.Calls, &r.config.Gossip} {
+		if *address, err = freeAddress(); err != nil {
+			return nil, err
+		}
+	}
+	r.command = exec.CommandContext(ctx, args[0], args[1:]...)
+	r.command.Stderr = os.Stderr
+	if r.input, err = r.command.StdinPipe(); err != nil {
+		return nil, err
+	}
+	output, err := r.command.StdoutPipe()
+	if err != nil {
+		return nil, err
+	}
+	if err := r.command.Start(); err != nil {
+		return nil, err
+	}
+	if err := json.NewEncoder(r.input).Encode(r.config); err != nil {
+		return nil, err
+	}
+	if line, err := bufio.NewReader(output).ReadString('\n'); err != nil || line != replicaReady+"\n" {
+		return nil, fmt.Errorf("parts: replica: found %q in place of %q: %w", line, replicaReady, errors.Join(err, io.ErrUnexpectedEOF))
+	}
+	return r, nil
+}
+
+func (r *replicaProcess) pid() int { return r.command.Process.Pid }
+
+// stop ends the process and removes its files.
+func (r *replicaProcess) stop() {
+	if r.input != nil {
+		_ = r.input.Close()
+	}
+	if r.command != nil && r.command.Process != nil {
+		_ = r.command.Wait()
+	}
+	_ = os.RemoveAll(r.config.Dir)
+}
+
+// freeAddress is a loopback address that nothing listened at just now.
+func freeAddress() (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer listener.Close()
+	return listener.Addr().String(), nil
+}
