--- a/cmd/beechctl/scale_run.go
+++ b/cmd/beechctl/scale_run.go
@@ -41,7 +41,7 @@
 	f.IntVar(&s.options.PauseMillis, "pause-millis", s.options.PauseMillis, "for how long")
 	f.BoolVar(&s.json, "json", false, "print one JSON object")
 	s.flags(c)
-	c.AddCommand(scaleHostCommand(), scaleSweepCommand(), scalePageCommand())
+	c.AddCommand(scaleHostCommand(), scalePartsCommand(), scaleSweepCommand(), scalePageCommand())
 	return c
 }
 
