Hold the ramp of cold engines for the whole fleet

Cause: the budgets of all front ends for a cold engine could sum up to over twice what it bears: the mean part and colliding turns where engines differ, stretches that a list's change moves within a window, an old process beside its successor, and two requests heavier than their turns by chance.

Change: coldRoom takes its part and turn from decision/ramp. A front end that is told to end sends no more in turns and half of its fine work.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -14,6 +14,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"beechcart/decision/ramp"
 )
 
 // The tuned values. Each says what it is for; none is fitted to one deployment.
@@ -67,9 +69,9 @@
 	ejectFirst  = 1 * time.Second
 	ejectMost   = 8 * time.Second
 	coldFine    = 0.5             // part of the cold budget for work finer than our part of it ...
+	coldLeaving = 0.5             // ... of our part while we end: our successor may run beside us ...
 	coldTurn    = 0.27            // ... and for each of the two turns that any window holds
 	coldSlot    = 0.55            // slots of turns in windows: half a one, and the time that a turn lasts
-	coldBegin   = 7               // part of its slot that a turn lasts
 	lateKeep    = 0.25            // late worth from which a late request stays in the queue
 	lateMargin  = 2.5             // a waiting request is late once so many times its service no longer fits
 	fitMargin   = 1.5             // times the expected time that must fit before the client leaves ...
@@ -114,40 +116,43 @@
 
 // coldRoom guards against pushing a cold engine over: all gateways together stay within its budget in any
 // window, in the usual work of the classes, against the least it can do (ColdFrom). Work much finer than our
-// part goes within that part. Heavier work goes in turns: each gateway whose stretch begins near it has one,
-// by its number and the clock, and no window meets more than two. When it went by chance, and never beside
-// fine work, it stood for 15 s while new engines idled (docs/fleet.md). Those that came past engines ejected
-// or erring leave it alone, and so does one that started within the window and does not know what its
-// last run spent. May harm where no gateway near it has anything to send; where clocks differ, turns meet by
-// chance.
+// part goes within that part. Heavier work goes in turns: each gateway whose stretch reaches it has one, by
+// the list and the clock, and no window meets more than two (decision/ramp). When it went by chance, never
+// beside fine work, it stood for 15 s while new engines idled (docs/fleet.md). Those that came past engines
+// ejected or erring leave it alone, and so does one that started within the window and does not know what its
+// last run spent; one that ends may have its successor beside it. May harm where no gateway near it has
+// anything to send, and after a change of the list; where clocks differ, turns meet by chance.
 func (c *Controller) coldRoom(e *engine, work float64) bool {
 	if c.ready(e) >= 1 || c.set.FallMultiple <= 0 {
 		return true
 	}
-	if c.now < c.startedAt+c.set.FallWindow || !c.begins(e) {
+	if c.now < c.startedAt+c.set.FallWindow || e.share.PartAt(c.now, c.set.FallWindow) == 0 {
 		return false
 	}
 	budget, fine, heavy := c.coldBudget(e, work)
+	if c.stopAt > 0 {
+		fine *= coldLeaving
+	}
 	if !heavy {
 		return work+e.spentSince(c.now-c.set.FallWindow, false) <= fine
 	}
 	slot := time.Duration(coldSlot * float64(c.set.FallWindow))
-	turns := time.Duration(math.Ceil(1 / c.part))
-	if c.now/slot%turns != time.Duration(c.set.Me)%turns || c.now%slot > slot/coldBegin {
+	if c.stopAt > 0 || !e.share.Turn(c.now, slot) {
 		return false
 	}
 	if c.now >= e.luckUntil {
 		e.luck, e.luckUntil = c.rand(), c.now+slot
 	}
 	spent := e.spentSince(c.now-slot, true)
-	return spent+work <= budget*coldTurn || (spent == 0 && e.luck < budget*coldTurn/work)
+	window := ramp.Window{Budget: budget, Mean: c.meanWork(), Fine: coldFine, Turn: coldTurn}
+	return spent+work <= budget*coldTurn || (spent == 0 && e.luck < window.HeavyChance(work, c.now, slot))
 }
 
 // coldBudget is what a cold engine may get in a window, at the least, our part of it for fine work, and
 // whether this work is too heavy for that part.
 func (c *Controller) coldBudget(e *engine, work float64) (all, fine float64, heavy bool) {
 	all = c.set.FallMultiple * (c.set.ColdFrom + c.ready(e)) / 2 * e.cores * c.set.FallWindow.Seconds()
-	fine = all * coldFine * c.part
+	fine = all * coldFine * e.share.PartAt(c.now, c.set.FallWindow)
 	return all, fine, work > fine/2
 }
 
@@ -459,22 +464,13 @@
 // start evenly over the capacity and are of equal capacity, so that all engines get as much, each from fewer.
 // With more clients a stretch is longer by as much, and the part of each engine the same.
 func (c *Controller) arc() {
-	c.first, c.subset, c.base, c.part = 0, math.Inf(1), math.Inf(1), 1/float64(c.set.Replicas)
+	c.subset, c.base, c.part = math.Inf(1), math.Inf(1), 1/float64(c.set.Replicas)
 	share := stretch / math.Max(float64(c.fleet.all), 1)
-	if c.set.MayTell || c.set.Replicas < stretchFrom || share >= 1 {
-		return
-	}
-	c.base, c.part = c.fleet.cores*share, math.Min(1, c.part/share)
-	c.subset = c.base * c.ours
-	at := c.fleet.cores * float64(c.set.Me) / float64(c.set.Replicas)
-	for c.first = range c.engines {
-		if e := c.engines[c.first]; !e.gone {
-			at -= e.cores
-		}
-		if at < 0 {
-			return
-		}
+	if !c.set.MayTell && c.set.Replicas >= stretchFrom && share < 1 {
+		c.base, c.part = c.fleet.cores*share, math.Min(1, c.part/share)
+		c.subset = c.base * c.ours
 	}
+	c.divide()
 }
 
 // fresh is how far a report still counts: it fades by its age.
--- /dev/null
+++ b/admission/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package admission
+
+const raceDetector = false
--- /dev/null
+++ b/admission/race_test.go
@@ -0,0 +1,6 @@
+//go:build race
+
+package admission
+
+// raceDetector tells that the tests run ten times slower, and play fewer days.
+const raceDetector = true
--- a/admission/state.go
+++ b/admission/state.go
@@ -7,6 +7,8 @@
 	"slices"
 	"sort"
 	"time"
+
+	"beechcart/decision/ramp"
 )
 
 // This file holds what a controller remembers and the bookkeeping on it. It decides nothing.
@@ -66,6 +68,7 @@
 	goneAt        time.Duration // when it went
 	coldFrom      time.Duration // when it started, as far as we know; negative: long ago
 	spent         []spend       // own work sent while it is cold
+	share         ramp.Held     // our share of what it may get while it is cold
 	rep           Report
 	repAt         time.Duration // negative: never
 	errs          float64       // share of errors in its answers
@@ -187,11 +190,13 @@
 	all           engine  // what the answers of all engines tell together
 	luck          float64 // draw for what comes in parts of a query
 	luckUntil     time.Duration
-	part          float64 // our part of an engine: of those gateways that draw from it
-	first         int     // where the own stretch of the ring begins
-	subset        float64 // its capacity
-	base          float64 // what it would be for a gateway with an equal part of the clients
-	ours          float64 // our part against an equal one
+	part          float64   // our part of an engine: of those gateways that draw from it
+	first         int       // where the own stretch of the ring begins
+	capacity      []float64 // cores of the engines along the ring; 0: gone
+	relisted      bool      // the list has changed since the shares were last worked out
+	subset        float64   // its capacity
+	base          float64   // what it would be for a gateway with an equal part of the clients
+	ours          float64   // our part against an equal one
 	weights       []float64
 	near          []*engine // the own stretch, for the request in hand
 	homes         []uint64  // its hashes, for the ranking
@@ -258,19 +263,42 @@
 	}
 }
 
-// begins tells whether our stretch, with all engines well and an equal part of the clients, has the engine.
-func (c *Controller) begins(e *engine) bool {
-	seen := 0.0
-	for i := 0; i < len(c.engines) && seen < c.base; i++ {
-		o := c.engines[(c.first+i)%len(c.engines)]
-		if o == e {
-			return true
+// divide finds where the own stretch begins and, after a change of the list, our shares of the engines while they are
+// cold, with all engines well and an equal part of the clients.
+func (c *Controller) divide() {
+	c.capacity = c.capacity[:0]
+	for _, e := range c.engines {
+		cores := e.cores
+		if e.gone {
+			cores = 0
 		}
-		if !o.gone {
-			seen += o.cores
+		c.capacity = append(c.capacity, cores)
+	}
+	if c.first = 0; !math.IsInf(c.base, 1) {
+		c.first = ramp.First(c.capacity, c.set.Me, c.set.Replicas)
+	}
+	if !c.relisted {
+		return
+	}
+	c.relisted = false
+	for i, share := range ramp.Shares(c.capacity, c.set.Me, c.set.Replicas, c.base) {
+		e := c.engines[i]
+		if math.IsInf(c.base, 1) {
+			e.share = ramp.Fixed(share)
+		} else {
+			e.share = e.share.Change(share, c.now, c.set.FallWindow)
 		}
 	}
-	return false
+}
+
+// meanWork is the mean work of the requests that came here, by what is known now of their classes.
+func (c *Controller) meanWork() float64 {
+	work, requests := 0.0, 0.0
+	for i := range c.classes {
+		k := &c.classes[i]
+		work, requests = work+k.estN*k.work, requests+k.estN
+	}
+	return work / math.Max(requests, 1)
 }
 
 // arrivals is a tenant's own rate, smoothed, and right from the start on.
@@ -582,6 +610,7 @@
 }
 
 func (c *Controller) listed(en Engine) {
+	c.relisted = true
 	e := c.byID[en.ID]
 	fresh := e == nil
 	if fresh {
