--- a/admission/ramp_test.go
+++ b/admission/ramp_test.go
@@ -67,27 +67,27 @@
 
 // rampSend is one attempt that reached a cold engine.
 type rampSend struct {
-	at   time.Duration
-	work float64 // seconds
+	at       time.Duration
+	work     float64 // seconds
 	informed bool    // its front end had been informed of the start
 }
 
 // rampDay is a fleet before engines of which some are cold, and what each of these got.
 type rampDay struct {
 	*fleetBed
-	t        *testing.T
-	set      Settings
-	mix      rampMix
-	troubles rampTroubles
-	rng      *rand.Rand
-	list     []Engine
-	downFrom map[uint32]time.Duration // of engines that come back
-	informedAt   map[uint32]map[int]time.Duration
-	works    map[string]time.Duration
-	got      map[uint32][]rampSend
-	weights  []float64 // of the traffic, by controller; 0: it has left
-	erring   uint32    // engine that errs
-	seed     uint64
+	t          *testing.T
+	set        Settings
+	mix        rampMix
+	troubles   rampTroubles
+	rng        *rand.Rand
+	list       []Engine
+	downFrom   map[uint32]time.Duration // of engines that come back
+	informedAt map[uint32]map[int]time.Duration
+	works      map[string]time.Duration
+	got        map[uint32][]rampSend
+	weights    []float64 // of the traffic, by controller; 0: it has left
+	erring     uint32    // engine that errs
+	seed       uint64
 }
 
 const (
@@ -318,7 +318,7 @@
 		}
 		d.step(me, Stopping{Left: 3 * sec})
 		d.join(me)
-		if before := me - 6; before >= 0 { // it was informed 3 s ago
+		if before := me - 6; before >= 0 { // it heard of its end 3 s ago
 			d.leave(before)
 		}
 	}
@@ -330,9 +330,10 @@
 	count         float64 // ... that window in requests of mean work
 	budget        float64 // ... and N
 	plain         int     // ... and its plain count
-	informed          float64 // ... and the part of it from front ends that had been informed of the start
+	informed      float64 // ... and the part of it from front ends that had been informed of the start
 	engine        uint32
 	age           time.Duration // ... of the engine at its begin
+	plainOf       float64       // the most requests, counted plainly, that a window held, as a part of the same bound
 	overOf        float64       // the most that a window held, as a part of N alone
 	falls         int           // engines that fall by the rule
 	sends         int           // to cold engines
@@ -341,12 +342,13 @@
 
 // fuller joins what two engines or days came to.
 func (w rampWorst) fuller(o rampWorst) rampWorst {
-	falls, sends, overOf := w.falls+o.falls, w.sends+o.sends, max(w.overOf, o.overOf)
+	falls, sends := w.falls+o.falls, w.sends+o.sends
+	overOf, plainOf := max(w.overOf, o.overOf), max(w.plainOf, o.plainOf)
 	work, allowed := w.work+o.work, w.allowed+o.allowed
 	if o.of > w.of {
 		w = o
 	}
-	w.falls, w.sends, w.overOf, w.work, w.allowed = falls, sends, overOf, work, allowed
+	w.falls, w.sends, w.overOf, w.plainOf, w.work, w.allowed = falls, sends, overOf, plainOf, work, allowed
 	return w
 }
 
@@ -383,7 +385,7 @@
 		if count > most {
 			w.falls = 1
 		}
-		w.overOf = max(w.overOf, count/n)
+		w.overOf, w.plainOf = max(w.overOf, count/n), max(w.plainOf, float64(plain)/most)
 		if count/most > w.of {
 			w.of, w.count, w.budget, w.plain, w.informed, w.engine, w.age = count/most, count, n, plain, informed/count, en.ID, age
 		}
@@ -422,7 +424,7 @@
 		t.Run(mix.name, func(t *testing.T) {
 			var worst rampWorst
 			var worstSeed uint64
-			overOf, used, fallen := 0.0, 0.0, 0
+			overOf, plainOf, used, fallen := 0.0, 0.0, 0.0, 0
 			seeds := rampSeeds(t)
 			for seed := range seeds {
 				troubles := drawTroubles(rand.New(rand.NewPCG(seed, 3)))
@@ -439,10 +441,10 @@
 				if w.of > worst.of {
 					worst, worstSeed = w, seed
 				}
-				overOf, used = max(overOf, w.overOf), used+w.used()
+				overOf, plainOf, used = max(overOf, w.overOf), max(plainOf, w.plainOf), used+w.used()
 			}
-			t.Logf("%d days, %d with a fall; worst of seed %d: %.1f of N %.1f, bound share %.2f; most over N alone %.2f; used %.2f",
-				seeds, fallen, worstSeed, worst.count, worst.budget, worst.of, overOf, used/float64(seeds))
+			t.Logf("%d days, %d with a fall; worst of seed %d: %.1f of N %.1f, bound share %.2f (plain count %.2f); most over N alone %.2f; used %.2f",
+				seeds, fallen, worstSeed, worst.count, worst.budget, worst.of, plainOf, overOf, used/float64(seeds))
 		})
 	}
 }
