Follow who is alive by memberlist's events, whose nodes can't be read without a race

Memberlist.Members returns pointers to nodes that the library goes on writing, so reading their metadata raced with a member that came back: the race detector told so in the test that cuts zones apart, in the rejoin loop and in the leader's. Events bring the same under the library's lock.

--- a/internal/fleet/gossip.go
+++ b/internal/fleet/gossip.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"log"
+	"maps"
 	"net"
 	"strconv"
 	"time"
@@ -12,9 +13,10 @@
 
 // gossip is who is heard of.
 type gossip struct {
-	opt  *Options
-	list *memberlist.Memberlist
-	stop chan struct{}
+	opt   *Options
+	list  *memberlist.Memberlist
+	alive *aliveProcesses
+	stop  chan struct{}
 }
 
 // meta tells which process of a member is heard.
@@ -78,12 +80,14 @@
 	// eight times the interval. So long a member that is gone counted as in, and others were let out beside it. A doubt that is
 	// wrong costs a permit for a moment and frees nothing.
 	c.SuspicionMaxTimeoutMult, c.AwarenessMaxMultiplier = 1, 2
+	alive := &aliveProcesses{incarnations: map[string]uint64{}}
+	c.Events = alive
 	list, err := memberlist.Create(c)
 	if err != nil {
 		_ = transport.Shutdown()
 		return nil, fmt.Errorf("fleet: gossip: %w", err)
 	}
-	g := &gossip{o, list, make(chan struct{})}
+	g := &gossip{o, list, alive, make(chan struct{})}
 	go g.rejoin()
 	return g, nil
 }
@@ -112,13 +116,9 @@
 
 // heard tells the process of each member that is heard of, or suspected for less than a moment: the library tells no difference.
 func (g *gossip) heard() map[string]uint64 {
-	out := map[string]uint64{}
-	for _, n := range g.list.Members() {
-		if inc, err := strconv.ParseUint(string(n.Meta), 10, 64); err == nil {
-			out[n.Name] = inc
-		}
-	}
-	return out
+	g.alive.mu.Lock()
+	defer g.alive.mu.Unlock()
+	return maps.Clone(g.alive.incarnations)
 }
 
 func (g *gossip) close() {
--- a/internal/fleet/wire_test.go
+++ b/internal/fleet/wire_test.go
@@ -288,3 +288,18 @@
 func (idleFront) Idle(string) bool          { return true }
 func (idleFront) Engines() []rollout.Engine { return nil }
 func (idleFront) Counted() rollout.Count    { return rollout.Count{} }
+
+// A member that comes back as another process is heard of as that one, and a name without a number as none.
+func TestAliveProcessesFollowEvents(t *testing.T) {
+	alive := &aliveProcesses{incarnations: map[string]uint64{}}
+	node := func(meta string) *memberlist.Node { return &memberlist.Node{Name: "n0", Meta: []byte(meta)} }
+	alive.NotifyJoin(node("5"))
+	assert.Equal(t, map[string]uint64{"n0": 5}, alive.incarnations)
+	alive.NotifyUpdate(node("6"))
+	assert.Equal(t, map[string]uint64{"n0": 6}, alive.incarnations)
+	alive.NotifyUpdate(node("x"))
+	assert.Empty(t, alive.incarnations)
+	alive.NotifyJoin(node("7"))
+	alive.NotifyLeave(node("7"))
+	assert.Empty(t, alive.incarnations)
+}
