--- a/cmd/beechctl/scale_parts.go
+++ b/cmd/beechctl/scale_parts.go
@@ -106,7 +106,7 @@
 			return err
 		}
 	}
-	began := time.Now()
+	began, commit := time.Now(), commitOfTree(c.Context())
 	result, err := part.Measure(c.Context(), f.options)
 	if printed := printSamples(c.OutOrStdout(), result.Samples); printed != nil || err != nil {
 		return errors.Join(err, printed)
@@ -114,7 +114,7 @@
 	if f.record == "" {
 		return nil
 	}
-	r := record.Recording{Name: "parts-" + part.Name, Command: f.commandLine(c, part.Name), At: began.UTC().Truncate(time.Second), Commit: commitOfTree(c.Context()),
+	r := record.Recording{Name: "parts-" + part.Name, Command: f.commandLine(c, part.Name), At: began.UTC().Truncate(time.Second), Commit: commit,
 		Cores: runtime.NumCPU(), Notes: append(result.Notes, f.notes...), Samples: result.Samples}
 	if err := r.Save(f.record); err != nil {
 		return err
--- a/internal/scale/parts/lists.go
+++ b/internal/scale/parts/lists.go
@@ -63,15 +63,18 @@
 	})
 }
 
-// read gets a page and returns its body, and the bytes of question and answer.
+// read gets a page and returns its body, and the bytes of question and answer. The question has no header but the host, as a
+// front end's has to the change log (internal/engine).
 func read(ctx context.Context, url string) (body []byte, moved float64, err error) {
 	var traffic wire
 	client := traffic.client(1)
+	client.Transport.(*http.Transport).DisableCompression = true
 	defer client.CloseIdleConnections()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return nil, 0, err
 	}
+	request.Header.Set("User-Agent", "")
 	response, err := client.Do(request)
 	if err != nil {
 		return nil, 0, err
