--- a/internal/scale/parts/frontend.go
+++ b/internal/scale/parts/frontend.go
@@ -19,6 +19,7 @@
 	warmFor        = time.Second
 	sessionDials   = 16 // at once
 	warmStatements = 200
+	mostUnanswered = 0.5 // share of statements; with more of them nothing has been measured
 	statementWait  = 2500 * time.Millisecond
 )
 
@@ -84,7 +85,8 @@
 	return l.fixture.close()
 }
 
-// open brings the sessions to a number, some at a time.
+// open brings the sessions to a number, some at a time. Each asks once: a session that asks nothing within 2.5 s of its connect is
+// closed, whatever the setting of idle ones.
 func (l *load) open(n int) error {
 	missing := max(0, n-len(l.sessions))
 	opened := make([]*drill.Session, missing)
@@ -94,7 +96,9 @@
 	for i := range missing {
 		places <- struct{}{}
 		group.Go(func() {
-			opened[i], failed[i] = drill.Dial(l.front.Addr, sessionWait)
+			if opened[i], failed[i] = drill.Dial(l.front.Addr, sessionWait); failed[i] == nil {
+				_ = l.statement(opened[i]) // counted where it matters: by the statements of measureRate
+			}
 			<-places
 		})
 	}
@@ -211,6 +215,9 @@
 	p.add(name+"_statements_per_second", float64(asked)/seconds)
 	p.add(name+"_statement_cpu_seconds", spent/math.Max(1, float64(asked)))
 	p.add(name+"_statements_unanswered_ratio", run.unanswered())
+	if run.unanswered() > mostUnanswered {
+		return fmt.Errorf("%.4f of the statements at %d a second ended without rows", run.unanswered(), rate)
+	}
 	return nil
 }
 
--- a/internal/scale/parts/parts_test.go
+++ b/internal/scale/parts/parts_test.go
@@ -155,6 +155,7 @@
 		assert.Greater(t, values[quantity][16], 0.0, quantity)
 	}
 	assert.Contains(t, values, "front_end_statements_per_second")
+	assert.LessOrEqual(t, values["front_end_statements_unanswered_ratio"][16], mostUnanswered)
 	values = measured(t, "frontlist", o)
 	for _, quantity := range []string{"front_end_idle_cpu_cores", "front_end_idle_resident_bytes", "front_end_by_list_cpu_cores"} {
 		assert.Contains(t, values[quantity], 8, quantity)
