Give each quantity of the single parts a row on the capacity page

Cause: the parts' names are final (alone_*, front_ends_seen_most_count, front_end_by_list_*), and a lead of the issue needs its finding rendered, or text and recordings drift apart. Change: rows follow the names; leads are rendered from rows (a missed budget confirms one, kept budgets rule it out); budgets are held to those of beechctl scale by a test; the residual of a level line is record.FitLine's own now.

--- a/internal/scale/capacity/capacity_test.go
+++ b/internal/scale/capacity/capacity_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"beechcart/internal/scale"
 	"beechcart/internal/scale/record"
 )
 
@@ -82,6 +83,36 @@
 	}
 }
 
+// TestBudgetsAreThoseOfTheRuns holds the page's verdicts and those of beechctl scale to the same budgets.
+func TestBudgetsAreThoseOfTheRuns(t *testing.T) {
+	assert.InDelta(t, scale.BudgetBytesPerSecond, memberBytesPerSecond, 0)
+	assert.InDelta(t, scale.BudgetCPUShare, memberCores, 0)
+	assert.InDelta(t, scale.BudgetHeapBytes, memberBytes, 0)
+	assert.InDelta(t, scale.BudgetInForceSeconds, inForceSeconds, 0)
+	assert.InDelta(t, scale.BudgetPrimaryChangeSeconds, primarySeconds, 0)
+}
+
+func TestLeadsNameRowsThatAreThere(t *testing.T) {
+	for _, l := range leads() {
+		rows := l.rows(Tables(nil))
+		assert.NotEmpty(t, rows, l.Suspicion)
+		assert.True(t, len(l.Rows) == 0 || len(rows) == len(l.Rows), "%s: names %d rows, found %d", l.Suspicion, len(l.Rows), len(rows))
+	}
+}
+
+func TestALeadIsConfirmedByAMissAndRuledOutByBudgetsKept(t *testing.T) {
+	recordings := []record.Recording{sweep("a_bytes_per_second", planMembers, func(float64) float64 { return 300 })}
+	find := func(budget float64, more ...Row) string {
+		table := Table{Name: "one", Rows: append([]Row{lineOf("a_bytes_per_second", budget)}, more...)}
+		finding, _ := Lead{Table: "one"}.finding([]Table{table}, recordings)
+		return finding
+	}
+	assert.Equal(t, "confirmed", find(200))
+	assert.Equal(t, "ruled out", find(400))
+	assert.Equal(t, "not measured", find(400, lineOf("b_bytes", 1)))
+	assert.Equal(t, "confirmed", find(200, lineOf("b_bytes", 1)))
+}
+
 // sizes are those of a sweep.
 var sizes = []int{50, 100, 200, 400, planMembers}
 
--- a/internal/scale/capacity/evaluate.go
+++ b/internal/scale/capacity/evaluate.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math"
 	"slices"
 
 	"beechcart/internal/scale/record"
@@ -126,9 +125,6 @@
 		f.Notes = append(f.Notes, err.Error())
 		return
 	}
-	if t.Law == record.Constant {
-		fit.Residual = levelResidual(samples, fit.Intercept)
-	}
 	size := planningSize
 	size.Rate = t.Rate
 	switch {
@@ -184,25 +180,6 @@
 	return f
 }
 
-// levelResidual is how far the mean of a size lies from the level, as a share of the largest mean. record.FitLine takes all sizes for
-// one under the law Constant, so a quantity that grows would pass for a constant one.
-func levelResidual(samples []record.Sample, level float64) float64 {
-	sums, counts := map[record.Size]float64{}, map[record.Size]float64{}
-	for _, s := range samples {
-		sums[s.Size] += s.Value
-		counts[s.Size]++
-	}
-	var residual, top float64
-	for size, sum := range sums {
-		mean := sum / counts[size]
-		residual, top = math.Max(residual, math.Abs(mean-level)), math.Max(top, math.Abs(mean))
-	}
-	if top == 0 {
-		return 0
-	}
-	return residual / top
-}
-
 // atPlanning are the samples at the planning numbers; a number that a sample doesn't name is not asked for.
 func atPlanning(samples []record.Sample) (at []record.Sample) {
 	same := func(found, wanted int) bool { return found == 0 || found == wanted }
--- a/internal/scale/capacity/render.go
+++ b/internal/scale/capacity/render.go
@@ -13,6 +13,7 @@
 // The tables of the page that are not tables of rows.
 const (
 	missedTable      = "missed"
+	leadsTable       = "leads"
 	planningTable    = "planning"
 	notMeasuredTable = "not_measured"
 	otherTable       = "other_quantities"
@@ -54,6 +55,7 @@
 	tables := Tables(recordings)
 	rendered := map[string]string{
 		missedTable:      renderMissed(tables, recordings),
+		leadsTable:       renderLeads(tables, recordings),
 		planningTable:    markdown([]string{"planning number", "value"}, planningLines()),
 		notMeasuredTable: renderNotMeasured(tables, recordings),
 		otherTable:       renderOthers(tables, recordings),
@@ -126,7 +128,7 @@
 	var slopes []string
 	for _, fit := range f.Fits {
 		if fit.Law == record.Constant {
-			slopes = append(slopes, "level, repeats apart by "+deviation(fit.Spread))
+			slopes = append(slopes, fmt.Sprintf("level, repeats apart by %s; %d samples", deviation(fit.Spread), fit.Samples))
 			continue
 		}
 		slopes = append(slopes, fmt.Sprintf("%s (%s to %s) %s; residual %s; %d sizes, %d samples", format(fit.Slope, r.Unit),
--- a/internal/scale/capacity/rows_events.go
+++ b/internal/scale/capacity/rows_events.go
@@ -16,7 +16,7 @@
 	prefix := "fault_" + fault
 	return append(afterRows(name, prefix),
 		Row{What: name + ": a drain after it in force at the last front end", Unit: Seconds, Mechanism: byLog, Budget: inForceBudget,
-			Terms: worst(prefix + "_drain_in_force_seconds")})
+			Terms: one(Term{Quantity: prefix + "_drain_in_force_seconds", Take: Worst, OutOf: prefix + "_heard_least_members"})})
 }
 
 // cutRows are what runs record of a cut beyond other faults: what became of a drain that was made during it.
@@ -26,7 +26,7 @@
 		Row{What: name + ": front ends without a drain that was made during the cut, at its end", Unit: Count, Mechanism: byLog,
 			Terms: worst(prefix + "_held_back_members")},
 		Row{What: name + ": from the cut's end until that drain is in force at the last front end", Unit: Seconds, Mechanism: byLog, Budget: inForceBudget,
-			Terms: worst(prefix + "_caught_up_seconds")})
+			Terms: one(Term{Quantity: prefix + "_caught_up_seconds", Take: Worst, OutOf: prefix + "_held_back_members"})})
 }
 
 // returning are the rows of so many front ends that start again within a time.
--- a/internal/scale/capacity/rows_front_end.go
+++ b/internal/scale/capacity/rows_front_end.go
@@ -74,7 +74,7 @@
 		{Name: "gossip", Rows: gossipRows()},
 		{Name: "storm", Role: record.FrontEnd, Rows: stormRows(recordings)},
 		{Name: "lists", Rows: listRows()},
-		{Name: "probes", Role: record.FrontEnd, Rows: probeRows()},
+		{Name: "probes", Rows: probeRows()},
 	}
 }
 
@@ -115,7 +115,10 @@
 		{What: "processor time of one statement", Unit: CPUSeconds, Mechanism: byExchange, Terms: one(slope("front_end_cpu_cores", record.InRate))},
 		{What: "processor time of all statements of a front end", Unit: Cores, Mechanism: byExchange, Terms: one(rate("front_end_cpu_cores"))},
 		{What: "the same where connections to databases serve again", Unit: Cores, Mechanism: byExchange, Terms: one(rate("front_end_reuse_cpu_cores"))},
-		{What: "processor time of the decisions alone", Unit: Cores, Mechanism: "admission", Terms: one(perEngine("controller_cpu_seconds_per_second"))},
+		{What: "processor time of one statement, by the length of the list", Unit: CPUSeconds, Mechanism: byExchange,
+			Terms: one(perEngine("front_end_by_list_statement_cpu_seconds"))},
+		{What: "statements that ended without rows, the worst rate", Unit: Share, Mechanism: byExchange,
+			Terms: worst("front_end_statements_unanswered_ratio")},
 		{What: "processor time of one login", Unit: CPUSeconds, Mechanism: bySessions, Terms: one(slope("front_end_login_cpu_cores", record.InRate))},
 		{What: "all sessions of a front end logging in again", Unit: CPUSeconds, Mechanism: bySessions,
 			Terms: one(Term{Quantity: "front_end_login_cpu_cores", Law: record.InRate, Take: Slope, Times: []Factor{sessions}})},
@@ -142,11 +145,14 @@
 	return []Row{
 		{What: "pairs of a front end and a database", Unit: Count, Mechanism: byArc,
 			Terms: arithmetic(allMembers, Factor{"databases", planEngines})},
-		{What: "databases that a front end sends to", Unit: Count, Mechanism: byArc, Terms: one(perEngine("databases_sent_to_count"))},
-		{What: "databases that a front end probes", Unit: Count, Mechanism: byArc, Terms: one(perEngine("databases_probed_count"))},
-		{What: "databases that a front end speaks to", Unit: Count, Mechanism: byArc, Terms: one(perEngine("databases_spoken_to_count"))},
+		{What: "databases that a front end sends to, the mean", Unit: Count, Mechanism: byArc, Terms: one(perEngine("databases_sent_to_count"))},
+		{What: "databases that a front end probes, the mean", Unit: Count, Mechanism: byArc, Terms: one(perEngine("databases_probed_count"))},
+		{What: "databases that a front end speaks to, the mean", Unit: Count, Mechanism: byArc, Terms: one(perEngine("databases_spoken_to_count"))},
+		{What: "databases that a front end speaks to, the most", Unit: Count, Mechanism: byArc, Terms: worst("databases_spoken_to_most_count")},
 		{What: "pairs that speak, in the fleet", Unit: Count, Mechanism: byArc, Terms: one(perEngine("databases_spoken_to_count", allMembers))},
-		{What: "probes that a front end sends", Unit: PerSecond, Mechanism: byArc, Terms: one(perEngine("probes_sent_per_second"))},
-		{What: "statements of a front end that run at once, the most", Unit: Count, Mechanism: byArc, Terms: worst("statements_out_most_count")},
+		{What: "probes that a front end sends", Unit: PerSecond, Mechanism: byArc, Terms: one(perEngine("alone_probes_sent_per_second"))},
+		{What: "statements of a front end that run at once, the most", Unit: Count, Mechanism: byArc, Terms: worst("alone_statements_out_most_count")},
+		{What: "connections to one database that a front end keeps, the most", Unit: Count, Mechanism: "decision/reuse",
+			Terms: worst("database_connections_kept_most_count")},
 	}
 }
