--- a/internal/scale/capacity/capacity.go
+++ b/internal/scale/capacity/capacity.go
@@ -38,6 +38,13 @@
 	Value float64
 }
 
+// Condition tells when a recorded quantity says nothing: where another one, of the same runs, is over a bound.
+type Condition struct {
+	Quantity string
+	Over     float64
+	Because  string // what the other quantity is then
+}
+
 // Term is one recorded quantity, multiplied by planning numbers. One without a quantity is arithmetic on planning numbers and on
 // constants of the code, and the page says so.
 type Term struct {
@@ -46,6 +53,7 @@
 	Take     Take
 	Rate     int // the planning rate, with the law InRate
 	Times    []Factor
+	Unless   Condition
 	OutOf    string // a quantity that each run records: a run of it without Quantity is one in which that never came
 }
 
@@ -79,6 +87,9 @@
 		if t.Quantity != "" {
 			names = append(names, t.Quantity)
 		}
+		if t.Unless.Quantity != "" {
+			names = append(names, t.Unless.Quantity)
+		}
 	}
 	return names
 }
--- a/internal/scale/capacity/capacity_test.go
+++ b/internal/scale/capacity/capacity_test.go
@@ -235,6 +235,17 @@
 	assert.Equal(t, NotMeasured, row.judge(f).Verdict)
 }
 
+func TestRunsWhoseStatementsWereNotAnsweredSayNothing(t *testing.T) {
+	row := lineOf("a_cpu_cores", 1)
+	row.Terms[0].Unless = Condition{"a_unanswered_ratio", 0.01, "ended without rows"}
+	cost := sweep("a_cpu_cores", planMembers, func(n float64) float64 { return n })
+	f := row.evaluate([]record.Recording{cost, sweep("a_unanswered_ratio", planMembers, func(float64) float64 { return 0.01 })})
+	assert.True(t, f.Measured)
+	f = row.evaluate([]record.Recording{cost, sweep("a_unanswered_ratio", planMembers, func(float64) float64 { return 0.5 })})
+	assert.Equal(t, "not measured (what was recorded says nothing: up to 50% ended without rows)", row.value(f))
+	assert.Equal(t, NotMeasured, row.judge(f).Verdict)
+}
+
 func TestABudgetOfNothing(t *testing.T) {
 	row := Row{Unit: Count, Terms: worst("a_count"), Budget: Budget{Source: "operators"}}
 	f := row.evaluate([]record.Recording{sweep("a_count", planMembers, func(float64) float64 { return 0 })})
--- a/internal/scale/capacity/evaluate.go
+++ b/internal/scale/capacity/evaluate.go
@@ -59,7 +59,7 @@
 	if f.countNever(samples, runs) {
 		f.Recordings = recordedIn(recordings, t.OutOf)
 	}
-	if len(samples) == 0 {
+	if len(samples) == 0 || f.void(recordings, t.Unless) {
 		return f
 	}
 	switch t.Take {
@@ -72,6 +72,20 @@
 	return f
 }
 
+// void notes that the quantity says nothing, where the condition holds for any sample.
+func (f *Figure) void(recordings []record.Recording, c Condition) bool {
+	others := record.Select(recordings, c.Quantity)
+	if len(others) == 0 {
+		return false
+	}
+	most := extremeOf(others, Worst)
+	if most <= c.Over {
+		return false
+	}
+	f.Notes = append(f.Notes, "what was recorded says nothing: up to "+percent(most)+" "+c.Because)
+	return true
+}
+
 // countNever notes runs in which what was recorded by samples never came: those at the planning numbers, or at the largest size where there is
 // none. It tells whether there were any.
 func (f *Figure) countNever(samples, runs []record.Sample) bool {
--- a/internal/scale/capacity/rows_front_end.go
+++ b/internal/scale/capacity/rows_front_end.go
@@ -102,21 +102,32 @@
 	}
 }
 
+// mostUnanswered is the share of statements that may end without rows in a run that says something of their cost.
+const mostUnanswered = 0.01
+
 func clientRows() []Row {
-	rate := func(quantity string) Term {
-		return Term{Quantity: quantity, Law: record.InRate, Rate: statementsPerMember}
+	unanswered := func(prefix string) Condition {
+		return Condition{prefix + "_statements_unanswered_ratio", mostUnanswered, "of the statements ended without rows"}
+	}
+	rate := func(prefix string) Term {
+		return Term{Quantity: prefix + "_cpu_cores", Law: record.InRate, Rate: statementsPerMember, Unless: unanswered(prefix)}
 	}
 	slope := func(quantity string, law record.Law) Term { return Term{Quantity: quantity, Law: law, Take: Slope} }
+	statement := slope("front_end_cpu_cores", record.InRate)
+	statement.Unless = unanswered("front_end")
+	byLength := perEngine("front_end_by_list_statement_cpu_seconds")
+	byLength.Unless = unanswered("front_end_by_list")
+	loaded := Term{Quantity: "front_end_loaded_resident_bytes", Take: Worst, Unless: unanswered("front_end")}
 	return []Row{
 		{What: "resident memory of one session", Unit: Bytes, Mechanism: bySessions, Terms: one(slope("front_end_session_resident_bytes", record.InSession))},
 		{What: "resident memory with all sessions idle", Unit: Bytes, Mechanism: bySessions,
 			Terms: one(grows("front_end_session_resident_bytes", record.InSession))},
-		{What: "resident memory with all sessions, after statements", Unit: Bytes, Mechanism: byExchange, Terms: worst("front_end_loaded_resident_bytes")},
-		{What: "processor time of one statement", Unit: CPUSeconds, Mechanism: byExchange, Terms: one(slope("front_end_cpu_cores", record.InRate))},
-		{What: "processor time of all statements of a front end", Unit: Cores, Mechanism: byExchange, Terms: one(rate("front_end_cpu_cores"))},
-		{What: "the same where connections to databases serve again", Unit: Cores, Mechanism: byExchange, Terms: one(rate("front_end_reuse_cpu_cores"))},
+		{What: "resident memory with all sessions, after statements", Unit: Bytes, Mechanism: byExchange, Terms: one(loaded)},
+		{What: "processor time of one statement", Unit: CPUSeconds, Mechanism: byExchange, Terms: one(statement)},
+		{What: "processor time of all statements of a front end", Unit: Cores, Mechanism: byExchange, Terms: one(rate("front_end"))},
+		{What: "the same where connections to databases serve again", Unit: Cores, Mechanism: byExchange, Terms: one(rate("front_end_reuse"))},
 		{What: "processor time of one statement, by the length of the list", Unit: CPUSeconds, Mechanism: byExchange,
-			Terms: one(perEngine("front_end_by_list_statement_cpu_seconds"))},
+			Terms: one(byLength)},
 		{What: "statements that ended without rows, the worst rate", Unit: Share, Mechanism: byExchange,
 			Terms: worst("front_end_statements_unanswered_ratio")},
 		{What: "processor time of one login", Unit: CPUSeconds, Mechanism: bySessions, Terms: one(slope("front_end_login_cpu_cores", record.InRate))},
