--- a/cmd/beechctl/scale_run.go
+++ b/cmd/beechctl/scale_run.go
@@ -56,6 +56,7 @@
 	f.IntVar(&o.Changes, "changes", o.Changes, "drains that are measured")
 	f.IntVar(&o.PrimaryChanges, "primary-changes", o.PrimaryChanges, "kills of the leading replica that are measured")
 	f.DurationVar(&o.FormWithin, "form-within", o.FormWithin, "how long the fleet may take to come together")
+	f.DurationVar(&o.StartPace, "start-pace", o.StartPace, "time between the starts of host processes")
 	f.DurationVar(&o.ChangeWithin, "change-within", o.ChangeWithin, "a drain that is not in force everywhere by then is lost")
 	f.Uint64Var(&o.Seed, "seed", 0, "seed of the faults; none: drawn now")
 	f.StringVar(&s.record, "record", "", "save the measurements to "+recordDir+"/NAME.json")
--- a/internal/scale/change.go
+++ b/internal/scale/change.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -34,6 +33,14 @@
 	return last
 }
 
+// latency is from the drain's acceptance until the last live member that has it had it in force; 0 where none has.
+func (c *change) latency() time.Duration {
+	if len(c.inForce) == 0 {
+		return 0
+	}
+	return c.last().Sub(c.sent)
+}
+
 // changeLog is all changes of a run, and the next database to drain.
 type changeLog struct {
 	made       []*change
@@ -60,59 +67,58 @@
 }
 
 // playChanges drains databases one after the other, and measures until each is in force everywhere.
-func (r *run) playChanges(ctx context.Context) error {
+func (r *run) playChanges(ctx context.Context) {
 	for range r.opt.Changes {
-		c, err := r.drain(ctx)
-		if err != nil {
-			return err
-		}
-		r.changes.made = append(r.changes.made, c)
-		if err := r.undrain(ctx, c); err != nil {
-			return err
-		}
+		r.undrain(ctx, r.drain(ctx))
 	}
-	return nil
 }
 
-// drain drains the next database, waits until it is in force at every live member, and watches it for a while.
-func (r *run) drain(ctx context.Context) (*change, error) {
-	engine := engineName(r.changes.nextEngine % r.opt.Engines)
+// drain drains the next database, waits until it is in force at every live member, and watches it for a while. A drain that the log does not
+// accept in time is lost: a fleet that can't agree is a finding.
+func (r *run) drain(ctx context.Context) *change {
+	c := &change{engine: engineName(r.changes.nextEngine % r.opt.Engines)}
 	r.changes.nextEngine++
+	r.changes.made = append(r.changes.made, c)
 	within, cancel := context.WithTimeout(ctx, r.opt.ChangeWithin)
 	defer cancel()
-	accepted, err := r.apply(within, rollout.Command{Drain: &rollout.Holder{Name: engine, Engine: true}})
+	accepted, err := r.apply(within, rollout.Command{Drain: &rollout.Holder{Name: c.engine, Engine: true}})
 	if err != nil {
-		return nil, fmt.Errorf("scale: drain of %s: %w", engine, err)
+		r.note("drain of %s is not accepted: %v", c.engine, err)
+		c.live = r.opt.Members
+		return c
 	}
-	c := &change{engine: engine, sent: accepted.sent}
+	c.sent = accepted.sent
 	for r.collect(c); c.lost(); r.collect(c) {
 		if !pause(within, lookInterval) {
 			break
 		}
 	}
-	r.note("drain of %s: in force at %d of %d after %.2f s", engine, len(c.inForce), c.live, c.last().Sub(c.sent).Seconds())
+	r.note("drain of %s: in force at %d of %d after %.2f s", c.engine, len(c.inForce), c.live, c.latency().Seconds())
 	if !c.lost() {
 		pause(ctx, changeStands)
 		c.reverted = r.reverted(c)
 	}
-	return c, nil
+	return c
 }
 
 // undrain ends a drain and waits until it is out of force at all hosts.
-func (r *run) undrain(ctx context.Context, c *change) error {
+func (r *run) undrain(ctx context.Context, c *change) {
+	if c.sent.IsZero() {
+		return
+	}
 	within, cancel := context.WithTimeout(ctx, r.opt.ChangeWithin)
 	defer cancel()
 	if _, err := r.apply(within, rollout.Command{Undrain: &rollout.Holder{Name: c.engine, Engine: true}}); err != nil {
-		return fmt.Errorf("scale: undrain of %s: %w", c.engine, err)
+		r.note("undrain of %s is not accepted: %v", c.engine, err)
+		return
 	}
 	ended := &change{engine: c.engine}
 	for r.collect(ended); len(ended.inForce) > 0; r.collect(ended) {
 		if !pause(within, lookInterval) {
 			r.note("%s is still drained at %d members", c.engine, len(ended.inForce))
-			break
+			return
 		}
 	}
-	return nil
 }
 
 // collect reads from the last reports at which live members the change is in force, and since when.
--- a/internal/scale/fault.go
+++ b/internal/scale/fault.go
@@ -93,17 +93,12 @@
 	found.After, found.AfterCores = c.member, c.cpuCores
 	r.note("a member sends %.0f B/s in the %v after", c.member.SentBytesPerSecond, costAfterFor)
 	if found.during != nil {
-		if err := r.catchUp(ctx, over, &found); err != nil {
-			return found, err
-		}
-	}
-	after, err := r.drain(ctx)
-	if err != nil {
-		return found, err
+		r.catchUp(ctx, over, &found)
 	}
-	r.changes.made = append(r.changes.made, after)
-	found.DrainInForce, found.DrainLost = after.last().Sub(after.sent).Seconds(), after.lost()
-	return found, r.undrain(ctx, after)
+	after := r.drain(ctx)
+	found.DrainInForce, found.DrainLost = after.latency().Seconds(), after.lost()
+	r.undrain(ctx, after)
+	return found, ctx.Err()
 }
 
 // awaitQuiet follows who hears of whom from the end of a trouble until all have heard of all for quietFor, or quietWithin is over.
--- a/internal/scale/fault_cut.go
+++ b/internal/scale/fault_cut.go
@@ -61,7 +61,7 @@
 
 // catchUp tells when a drain that was made during a trouble was in force everywhere after it, and ends the drain. One that is not in
 // force everywhere by now is lost.
-func (r *run) catchUp(ctx context.Context, over time.Time, found *FaultResult) error {
+func (r *run) catchUp(ctx context.Context, over time.Time, found *FaultResult) {
 	during := found.during
 	r.collect(during)
 	if during.lost() {
@@ -70,7 +70,7 @@
 		seconds := max(0, during.last().Sub(over).Seconds())
 		found.CaughtUpSeconds = &seconds
 	}
-	return r.undrain(ctx, during)
+	r.undrain(ctx, during)
 }
 
 // cutZone is a zone without real front ends, where there is one, as the seed draws it.
--- a/internal/scale/options.go
+++ b/internal/scale/options.go
@@ -45,6 +45,7 @@
 	Changes        int           // drains of an engine that are measured
 	PrimaryChanges int           // kills of the leading replica that are measured
 	FormWithin     time.Duration // bounds each step of coming together
+	StartPace      time.Duration // between the starts of host processes
 	ChangeWithin   time.Duration // a drain that is not in force at every live member by then is lost
 	Faults         []string
 	PauseShare     float64 // of the host processes that the pause fault stops
@@ -58,7 +59,7 @@
 // Defaults are the options of a run at planning size.
 func Defaults() Options {
 	return Options{Members: 710, Engines: 810, Real: 4, Control: 5, Zones: 7, Regions: 2, PerHost: 15, Seconds: 60, Changes: 5,
-		PrimaryChanges: 2, FormWithin: 90 * time.Second, ChangeWithin: 15 * time.Second, PauseShare: 0.1, PauseMillis: 1500}
+		PrimaryChanges: 2, FormWithin: 90 * time.Second, ChangeWithin: 15 * time.Second, StartPace: 500 * time.Millisecond, PauseShare: 0.1, PauseMillis: 1500}
 }
 
 // SizeError tells which option does not fit, and its bound.
--- a/internal/scale/primary.go
+++ b/internal/scale/primary.go
@@ -44,28 +44,28 @@
 	return nil
 }
 
-// primaryChange plays one kill and starts the killed replica again from its disk.
+// primaryChange plays one kill and starts the killed replica again from its disk. Where nobody leads in the first place there is nothing to
+// kill, and what is told is how long that was waited for.
 func (r *run) primaryChange(ctx context.Context) (seconds float64, err error) {
+	began := time.Now()
 	leader, err := r.leader(ctx)
 	if err != nil {
-		return 0, err
+		r.note("%v", err)
+		return time.Since(began).Seconds(), ctx.Err()
 	}
 	killed := time.Now()
 	leader.kill()
-	c, err := r.drain(ctx)
-	if err != nil {
-		return 0, err
-	}
-	r.changes.made = append(r.changes.made, c)
+	c := r.drain(ctx)
 	if seconds = c.last().Sub(killed).Seconds(); c.lost() {
 		seconds = time.Since(killed).Seconds() // at least so long
 	}
-	r.note("%s killed: a drain accepted after it is in force after %.2f s", leader.plan.name, seconds)
+	r.note("%s killed: a drain accepted after it is in force after %.2f s, lost: %v", leader.plan.name, seconds, c.lost())
 	if err := leader.start(); err != nil {
 		return 0, err
 	}
 	r.awaitHost(ctx, leader)
-	return seconds, r.undrain(ctx, c)
+	r.undrain(ctx, c)
+	return seconds, nil
 }
 
 // awaitHost waits until the members of a host that was started again are known and hear of all.
--- a/internal/scale/runner.go
+++ b/internal/scale/runner.go
@@ -16,11 +16,13 @@
 
 // The times of a run.
 const (
-	startPace    = 150 * time.Millisecond // between the starts of host processes
-	settleFor    = 5 * time.Second        // from the end of forming to the quiet window
+	settleFor    = 5 * time.Second // from the end of forming to the quiet window
 	lookInterval = 100 * time.Millisecond
 )
 
+// mostDrains is the budget of databases that may be drained at once: enough for drains that a fleet without agreement did not end.
+const mostDrains = 50
+
 // run is a running fleet.
 type run struct {
 	opt     Options
@@ -53,9 +55,7 @@
 		return nil, err
 	}
 	r.quiet(ctx, result)
-	if err := r.playChanges(ctx); err != nil {
-		return nil, err
-	}
+	r.playChanges(ctx)
 	if err := r.playPrimaryChanges(ctx, result); err != nil {
 		return nil, err
 	}
@@ -143,7 +143,7 @@
 		if err := h.start(); err != nil {
 			return err
 		}
-		if !pause(ctx, startPace) {
+		if !pause(ctx, r.opt.StartPace) {
 			return ctx.Err()
 		}
 	}
@@ -156,7 +156,8 @@
 	result.Formation.Seconds = time.Since(r.began).Seconds()
 	result.Formation.Unknown = state.members - state.known
 	r.note("%d of %d hollow members are known; least heard of %d, mean %.1f", state.known, state.members, state.heardLeast, state.heardMean)
-	return r.awaitEngines(ctx)
+	r.awaitEngines(ctx)
+	return ctx.Err()
 }
 
 // begin lets the replicas begin the log, and agrees on budgets that let the run's drains through.
@@ -173,7 +174,7 @@
 		}
 	}
 	settings := rollout.Defaults()
-	settings.Engines = rollout.Budget{Most: 8}
+	settings.Engines = rollout.Budget{Most: mostDrains}
 	if _, err := r.apply(within, rollout.Command{Configure: &settings}); err != nil {
 		return fmt.Errorf("scale: the control replicas agree on nothing: %w\n%s", err, r.lastWords())
 	}
@@ -210,17 +211,18 @@
 }
 
 // awaitEngines waits until the log has all databases; drains need them.
-func (r *run) awaitEngines(ctx context.Context) error {
+func (r *run) awaitEngines(ctx context.Context) {
 	within, cancel := context.WithTimeout(ctx, r.opt.FormWithin)
 	defer cancel()
 	for {
 		s, err := r.client.Status()
 		if err == nil && s.Leads && len(s.State.Engines) >= r.opt.Engines {
 			r.note("the log has %d members and %d databases; %s leads", len(s.State.Members), len(s.State.Engines), s.Keeper)
-			return nil
+			return
 		}
 		if !pause(within, time.Second) {
-			return fmt.Errorf("scale: the log does not get the list of databases: %d of %d (%w)", len(s.State.Engines), r.opt.Engines, err)
+			r.note("the log has %d of %d databases (%v)", len(s.State.Engines), r.opt.Engines, err)
+			return
 		}
 	}
 }
