--- a/internal/scale/process.go
+++ b/internal/scale/process.go
@@ -17,6 +17,10 @@
 // endWithin is how long a host may take to end after its standard input has.
 const endWithin = 5 * time.Second
 
+// HostProcessors is GOMAXPROCS of hosts that are no control replicas: with one runtime thread for each core of the machine, dozens of
+// processes would spend its idle time on garbage collection, and count that as the members'.
+const HostProcessors = 2
+
 // mostReport bounds one line of a host.
 const mostReport = 4 << 20
 
@@ -48,6 +52,10 @@
 	defer errors.Close()
 	command := exec.Command(h.command[0], h.command[1:]...)
 	command.Stderr = errors
+	command.Env = os.Environ()
+	if !h.plan.replica {
+		command.Env = append(command.Env, fmt.Sprintf("GOMAXPROCS=%d", HostProcessors))
+	}
 	input, err := command.StdinPipe()
 	if err != nil {
 		return fmt.Errorf("scale: %s: %w", h.plan.name, err)
