Record no time for a drain that was never in force

Cause: a drain that the log never accepted after a fault was recorded as 0 s, and the capacity page called it within its budget. Change: such a drain gives no sample; a test holds it. Measured: TestALostDrain passes.

--- a/internal/scale/quantities.go
+++ b/internal/scale/quantities.go
@@ -68,7 +68,9 @@
 	add(record.FrontEnd, prefix+"_received_bytes_per_second", f.After.ReceivedBytesPerSecond)
 	add(record.FrontEnd, prefix+"_member_cpu_cores", f.After.CPUShare)
 	add(record.FrontEnd, prefix+"_heard_least_members", float64(least))
-	add(record.FrontEnd, prefix+"_drain_in_force_seconds", f.DrainInForce)
+	if !f.DrainLost { // a drain that was lost has no time: the page counts the runs without one
+		add(record.FrontEnd, prefix+"_drain_in_force_seconds", f.DrainInForce)
+	}
 	if f.QuietAfterSeconds != nil {
 		add(record.FrontEnd, prefix+"_quiet_after_seconds", *f.QuietAfterSeconds)
 	}
