Measure how long until dead, stopped and one-way members are suspected

The new fault dead kills a host and starts it again once its members are suspected; the faults stop and one-way watch the same.

--- a/cmd/beechctl/scale_run.go
+++ b/cmd/beechctl/scale_run.go
@@ -18,6 +18,7 @@
 type scaleRun struct {
 	options scale.Options
 	faults  string
+	notice  bool // adds the faults that measure the time to notice
 	record  string
 	add     bool // to a recording that is there
 	notes   []string
@@ -58,6 +59,8 @@
 	f.DurationVar(&o.FormWithin, "form-within", o.FormWithin, "how long the fleet may take to come together")
 	f.DurationVar(&o.StartPace, "start-pace", o.StartPace, "time between the starts of host processes")
 	f.DurationVar(&o.ChangeWithin, "change-within", o.ChangeWithin, "a drain that is not in force everywhere by then is lost")
+	f.BoolVar(&s.notice, "notice", false, "measure also how long until a dead and a stopped member are suspected: adds the faults dead and stop")
+	f.DurationVar(&o.NoticeWithin, "notice-within", o.NoticeWithin, "members that are not suspected by then are not noticed")
 	f.Uint64Var(&o.Seed, "seed", 0, "seed of the faults; none: drawn now")
 	f.StringVar(&s.record, "record", "", "save the measurements to "+recordDir+"/NAME.json")
 	f.BoolVar(&s.add, "append", false, "add to the samples of a recording that is there, in place of replacing it")
@@ -79,6 +82,9 @@
 	default:
 		o.Faults = strings.Split(s.faults, ",")
 	}
+	if s.notice {
+		o.Faults = scale.WithNotice(o.Faults)
+	}
 	self, err := os.Executable()
 	if err != nil {
 		return err
--- a/cmd/beechctl/scale_run_test.go
+++ b/cmd/beechctl/scale_run_test.go
@@ -12,6 +12,7 @@
 		"--control: found 2, allowed is 1, 3, 5 or 7":   {"--control", "2"},
 		"--per-host: found 3, allowed is what needs at": {"--per-host", "3"},
 		"--faults: found flood, allowed is none, all":   {"--faults", "pause,flood"},
+		"--notice-within: found 0s, allowed is more":    {"--notice", "--notice-within", "0s"},
 	} {
 		code, out, errs := ctl(append([]string{"scale", "--real", "0"}, args...)...)
 		assert.Equal(t, exitFailed, code)
--- a/internal/scale/fault.go
+++ b/internal/scale/fault.go
@@ -27,6 +27,8 @@
 	HeldBack          *int          `json:"drain_during_held_back"`  // members without a drain that was made during the trouble, at its end; null: none was made
 	CaughtUpSeconds   *float64      `json:"drain_caught_up_seconds"` // from the trouble's end until that drain was in force everywhere
 
+	Notice *Notice `json:"notice,omitempty"` // of the faults that measure how long until their members are suspected
+
 	during *change // the drain that was made during the trouble
 }
 
@@ -49,7 +51,7 @@
 // faults lists them in the order of --faults all.
 var faults = []fault{
 	{"pause", playPause}, {"leader", playLeader}, {"zone", playZone}, {"all-restart", playAllRestart}, {"restarts", playRestarts},
-	{"stop", playStop}, {"regions", playRegions}, {"one-way", playOneWay}, {"disk", playDisk},
+	{"stop", playStop}, {"regions", playRegions}, {"one-way", playOneWay}, {"disk", playDisk}, {"dead", playDead},
 }
 
 // FaultNames lists the faults that can be played, in the order of --faults all.
@@ -88,6 +90,7 @@
 	over := time.Now()
 	found.Seconds = over.Sub(began).Seconds()
 	r.note("%s, is over after %.1f s", found.Played, found.Seconds)
+	r.noteNotice(found.Notice)
 	r.awaitQuiet(ctx, over, &found)
 	c := r.costsBetween(over, over.Add(costAfterFor))
 	found.After, found.AfterCores = c.member, c.cpuCores
--- a/internal/scale/fault_cut.go
+++ b/internal/scale/fault_cut.go
@@ -106,15 +106,18 @@
 	return others
 }
 
-func (r *run) membersIn(zone string) (members int) {
+// namesIn lists the members of a zone that can be cut: all but the real front ends.
+func (r *run) namesIn(zone string) (names []string) {
 	for _, m := range r.plan.members {
 		if m.Zone == zone && !m.real {
-			members++
+			names = append(names, m.Name)
 		}
 	}
-	return members
+	return names
 }
 
+func (r *run) membersIn(zone string) int { return len(r.namesIn(zone)) }
+
 // playZone cuts a zone off from all others.
 func playZone(ctx context.Context, r *run, found *FaultResult) error {
 	zone, err := r.cutZone()
@@ -139,7 +142,10 @@
 	}
 	found.Members = r.membersIn(zone)
 	found.Played = fmt.Sprintf("what %s with %d members sends is lost for %v", zone, found.Members, zoneCutFor)
-	return r.cutFor(ctx, map[string][]string{zone: r.zonesBut(zone)}, zoneCutFor, found)
+	watch := r.watchSuspicion(ctx, r.namesIn(zone), zoneCutFor)
+	err = r.cutFor(ctx, map[string][]string{zone: r.zonesBut(zone)}, zoneCutFor, found)
+	found.Notice = watch.await()
+	return err
 }
 
 // playRegions cuts all regions from one another.
--- a/internal/scale/fault_pause.go
+++ b/internal/scale/fault_pause.go
@@ -34,6 +34,14 @@
 	return members
 }
 
+// namesOf lists the members of a host.
+func namesOf(h *hostProcess) (names []string) {
+	for _, member := range h.plan.members {
+		names = append(names, member.Name)
+	}
+	return names
+}
+
 // stopHosts lets hosts stand still for a while.
 func stopHosts(ctx context.Context, hosts []*hostProcess, stand time.Duration) error {
 	for _, h := range hosts {
@@ -69,5 +77,8 @@
 	}
 	found.Members = membersOf(hosts[:1])
 	found.Played = fmt.Sprintf("%s with %d members stands still for %v", hosts[0].plan.name, found.Members, stopFor)
-	return stopHosts(ctx, hosts[:1], stopFor)
+	watch := r.watchSuspicion(ctx, namesOf(hosts[0]), stopFor)
+	err := stopHosts(ctx, hosts[:1], stopFor)
+	found.Notice = watch.await()
+	return err
 }
--- a/internal/scale/options.go
+++ b/internal/scale/options.go
@@ -50,6 +50,7 @@
 	Faults         []string
 	PauseShare     float64 // of the host processes that the pause fault stops
 	PauseMillis    int
+	NoticeWithin   time.Duration // members that are not suspected by then are not noticed
 
 	Program     string   // the beechcart to start; needed with Real
 	HostCommand []string // that runs RunHost: the program and its arguments
@@ -59,7 +60,8 @@
 // Defaults are the options of a run at planning size.
 func Defaults() Options {
 	return Options{Members: 710, Engines: 810, Real: 4, Control: 5, Zones: 7, Regions: 2, PerHost: 15, Seconds: 60, Changes: 5,
-		PrimaryChanges: 2, FormWithin: 90 * time.Second, ChangeWithin: 15 * time.Second, StartPace: 500 * time.Millisecond, PauseShare: 0.1, PauseMillis: 1500}
+		PrimaryChanges: 2, FormWithin: 90 * time.Second, ChangeWithin: 15 * time.Second, StartPace: 500 * time.Millisecond, PauseShare: 0.1, PauseMillis: 1500,
+		NoticeWithin: 15 * time.Second}
 }
 
 // SizeError tells which option does not fit, and its bound.
@@ -93,6 +95,8 @@
 		return &SizeError{"pause-share", fmt.Sprint(o.PauseShare), "more than 0, up to 1"}
 	case o.FormWithin <= 0 || o.ChangeWithin <= 0:
 		return &SizeError{"form-within and --change-within", fmt.Sprint(o.FormWithin, " and ", o.ChangeWithin), "more than 0"}
+	case o.NoticeWithin <= 0:
+		return &SizeError{"notice-within", fmt.Sprint(o.NoticeWithin), "more than 0"}
 	case o.processes() > MostProcesses:
 		return &SizeError{"per-host", fmt.Sprint(o.PerHost), fmt.Sprintf("what needs at most %d processes; this needs %d", MostProcesses, o.processes())}
 	case o.memory() > MostMemory:
--- a/internal/scale/quantities.go
+++ b/internal/scale/quantities.go
@@ -77,6 +77,9 @@
 	if f.HeldBack != nil {
 		add(record.FrontEnd, prefix+"_held_back_members", float64(*f.HeldBack))
 	}
+	if f.Notice != nil && f.Notice.MaxSeconds != nil { // members that were not all noticed have no time
+		add(record.FrontEnd, "notice_"+noticeNames[f.Name]+"_max_seconds", *f.Notice.MaxSeconds)
+	}
 	if f.CaughtUpSeconds != nil {
 		add(record.FrontEnd, prefix+"_caught_up_seconds", *f.CaughtUpSeconds)
 	}
--- a/internal/scale/runner_test.go
+++ b/internal/scale/runner_test.go
@@ -79,7 +79,8 @@
 		"pause-share": func(o *Options) {
 			o.PauseShare = 1.5
 		},
-		"beechcart": func(o *Options) { o.Program = "" },
+		"notice-within": func(o *Options) { o.NoticeWithin = 0 },
+		"beechcart":     func(o *Options) { o.Program = "" },
 	} {
 		o := Defaults()
 		o.Program, o.HostCommand = "beechcart", []string{"host"}
