--- a/internal/scale/change.go
+++ b/internal/scale/change.go
@@ -9,9 +9,6 @@
 	"beechcart/decision/rollout"
 )
 
-// changeStands is how long a drain that is in force everywhere is watched for going out of force.
-const changeStands = 2 * time.Second
-
 // change is one drain of a database, as the members had it in force.
 type change struct {
 	engine   string
@@ -95,7 +92,7 @@
 	}
 	r.note("drain of %s: in force at %d of %d after %.2f s", c.engine, len(c.inForce), c.live, c.latency().Seconds())
 	if !c.lost() {
-		pause(ctx, changeStands)
+		pause(ctx, r.opt.ChangeStands)
 		c.reverted = r.reverted(c)
 	}
 	return c
--- a/internal/scale/options.go
+++ b/internal/scale/options.go
@@ -44,6 +44,8 @@
 
 	Changes        int           // drains of an engine that are measured
 	PrimaryChanges int           // kills of the leading replica that are measured
+	Settle         time.Duration // from the end of forming to the quiet window
+	ChangeStands   time.Duration // how long a drain that is in force everywhere is watched for going out of force
 	FormWithin     time.Duration // bounds each step of coming together
 	StartPace      time.Duration // between the starts of host processes
 	ChangeWithin   time.Duration // a drain that is not in force at every live member by then is lost
@@ -61,7 +63,7 @@
 func Defaults() Options {
 	return Options{Members: 710, Engines: 810, Real: 4, Control: 5, Zones: 7, Regions: 2, PerHost: 15, Seconds: 60, Changes: 5,
 		PrimaryChanges: 2, FormWithin: 90 * time.Second, ChangeWithin: 15 * time.Second, StartPace: 500 * time.Millisecond, PauseShare: 0.1, PauseMillis: 1500,
-		NoticeWithin: 15 * time.Second}
+		NoticeWithin: 15 * time.Second, Settle: 5 * time.Second, ChangeStands: 2 * time.Second}
 }
 
 // SizeError tells which option does not fit, and its bound.
--- a/internal/scale/runner.go
+++ b/internal/scale/runner.go
@@ -14,11 +14,8 @@
 	"beechcart/internal/fleet"
 )
 
-// The times of a run.
-const (
-	settleFor    = 5 * time.Second // from the end of forming to the quiet window
-	lookInterval = 100 * time.Millisecond
-)
+// lookInterval is the time from one look at the hosts' reports to the next.
+const lookInterval = 100 * time.Millisecond
 
 // mostDrains is the budget of databases that may be drained at once: enough for drains that a fleet without agreement did not end.
 const mostDrains = 50
@@ -229,7 +226,7 @@
 
 // quiet measures what the fleet costs while nothing happens.
 func (r *run) quiet(ctx context.Context, result *Result) {
-	pause(ctx, settleFor)
+	pause(ctx, r.opt.Settle)
 	from := time.Now()
 	r.note("quiet for %d s", r.opt.Seconds)
 	// The window ends after a report, so that there are two even in the shortest.
