--- a/admission/ramp_test.go
+++ b/admission/ramp_test.go
@@ -222,7 +222,7 @@
 // leave ends a front end: nothing reaches it from now on.
 func (d *rampDay) leave(ctl int) { d.weights[ctl] = 0 }
 
-// step passes on only what is for a front end that runs.
+// stepLive passes on only what is for a front end that runs.
 func (d *rampDay) stepLive(ctl int, ev Event) {
 	if d.weights[ctl] > 0 {
 		d.step(ctl, ev)
--- a/internal/scale/notice.go
+++ b/internal/scale/notice.go
@@ -65,17 +65,10 @@
 
 // awaitUnsuspected tells whether the leader's state has all of some members unsuspected within Options.NoticeWithin.
 func (r *run) awaitUnsuspected(ctx context.Context, members []string) bool {
-	within, cancel := context.WithTimeout(ctx, r.opt.NoticeWithin)
-	defer cancel()
-	for {
+	return waitUntil(ctx, r.opt.NoticeWithin, noticeInterval, func() bool {
 		status, err := r.client.Status()
-		if err == nil && status.Leads && allUnsuspected(status.State.Members, members) {
-			return true
-		}
-		if !pause(within, noticeInterval) {
-			return false
-		}
-	}
+		return err == nil && status.Leads && allUnsuspected(status.State.Members, members)
+	})
 }
 
 func allUnsuspected(state map[string]*rollout.Member, members []string) bool {
--- a/internal/scale/primary.go
+++ b/internal/scale/primary.go
@@ -70,15 +70,12 @@
 
 // awaitHost waits until the members of a host that was started again are known and hear of all.
 func (r *run) awaitHost(ctx context.Context, h *hostProcess) bool {
-	within, cancel := context.WithTimeout(ctx, rejoinWithin)
-	defer cancel()
-	for {
-		if report, ok := h.latest(); ok && report.Known == len(h.plan.members) && report.HeardLeast >= r.opt.Members {
-			return true
-		}
-		if !pause(within, lookInterval) {
-			r.note("%s is not back after %v", h.plan.name, rejoinWithin)
-			return false
-		}
+	back := waitUntil(ctx, rejoinWithin, lookInterval, func() bool {
+		report, ok := h.latest()
+		return ok && report.Known == len(h.plan.members) && report.HeardLeast >= r.opt.Members
+	})
+	if !back {
+		r.note("%s is not back after %v", h.plan.name, rejoinWithin)
 	}
+	return back
 }
--- a/internal/scale/runner.go
+++ b/internal/scale/runner.go
@@ -195,33 +195,22 @@
 
 // awaitFormed waits until all hollow members are known and hear of all, for so long at most.
 func (r *run) awaitFormed(ctx context.Context) bool {
-	within, cancel := context.WithTimeout(ctx, r.opt.FormWithin)
-	defer cancel()
-	for {
-		if r.look().whole(r.opt.Members) {
-			return true
-		}
-		if !pause(within, lookInterval) {
-			return false
-		}
-	}
+	return waitUntil(ctx, r.opt.FormWithin, lookInterval, func() bool { return r.look().whole(r.opt.Members) })
 }
 
 // awaitEngines waits until the log has all databases; drains need them.
 func (r *run) awaitEngines(ctx context.Context) {
-	within, cancel := context.WithTimeout(ctx, r.opt.FormWithin)
-	defer cancel()
-	for {
-		s, err := r.client.Status()
-		if err == nil && s.Leads && len(s.State.Engines) >= r.opt.Engines {
-			r.note("the log has %d members and %d databases; %s leads", len(s.State.Members), len(s.State.Engines), s.Keeper)
-			return
-		}
-		if !pause(within, time.Second) {
-			r.note("the log has %d of %d databases (%v)", len(s.State.Engines), r.opt.Engines, err)
-			return
-		}
+	var s fleet.Status
+	var err error
+	listed := waitUntil(ctx, r.opt.FormWithin, time.Second, func() bool {
+		s, err = r.client.Status()
+		return err == nil && s.Leads && len(s.State.Engines) >= r.opt.Engines
+	})
+	if !listed {
+		r.note("the log has %d of %d databases (%v)", len(s.State.Engines), r.opt.Engines, err)
+		return
 	}
+	r.note("the log has %d members and %d databases; %s leads", len(s.State.Members), len(s.State.Engines), s.Keeper)
 }
 
 // quiet measures what the fleet costs while nothing happens.
@@ -300,3 +289,15 @@
 		return true
 	}
 }
+
+// waitUntil asks at an interval whether something is ready, at once first; false once the bound or ctx is over before it is.
+func waitUntil(ctx context.Context, bound, interval time.Duration, ready func() bool) bool {
+	within, cancel := context.WithTimeout(ctx, bound)
+	defer cancel()
+	for !ready() {
+		if !pause(within, interval) {
+			return false
+		}
+	}
+	return true
+}
