--- a/review/standin/platform.go
+++ b/review/standin/platform.go
@@ -130,6 +130,9 @@
 	return pr, nil
 }
 
+// kill ends a process at once.
+func (pr *process) kill() { _ = pr.cmd.Process.Kill() }
+
 func (pr *process) signal(s syscall.Signal) { _ = pr.cmd.Process.Signal(s) }
 
 func (pr *process) running() bool {
