--- a/review/standin/case2.go
+++ b/review/standin/case2.go
@@ -4,38 +4,39 @@
 
 import (
 	"fmt"
-	"io"
-	"net"
+	"math/rand/v2"
+	"net/http"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 )
 
-func init() { cases["2"] = manyLargeRequests }
+func init() { cases["2"] = endlessAnswers }
 
-// manyLargeRequests is case 2: bad clients send hundreds of requests at once. The front end must stay within its memory.
-func manyLargeRequests(p *platform) (string, error) {
+// endlessAnswers is case 2: some answers of the engines never end. The front end must stay within its memory.
+func endlessAnswers(p *platform) (string, error) {
 	const (
-		usual      = 8
-		bad        = 300 // usual + bad is under a third of the descriptors
-		atOnce     = 2   // requests that a bad client sends at once
-		statement  = 240 << 10
-		badSeconds = 3
+		sessions  = 20
+		spoiltOne = 5 // one good answer or page in spoiltOne is spoilt
 	)
-	lim := limits{memoryMB: 192, sockets: 1024}
+	lim := limits{memoryMB: 96, sockets: 512}
 	if err := p.serveChangeLog(); err != nil {
 		return "", err
 	}
 	var entries []endpoint
 	for i := range 3 {
 		e, err := startEngine(engineSpec{
-			Name: fmt.Sprintf("s-0000000%d", i+1), Rows: 10,
-			Work: map[string]time.Duration{"lookup": 40 * time.Millisecond, "report": 1500 * time.Millisecond},
+			Name: fmt.Sprintf("s-0000000%d", i+1), Rows: 20, Work: map[string]time.Duration{"lookup": 40 * time.Millisecond},
 		}, p.note)
 		if err != nil {
 			return "", err
 		}
+		if p.trouble {
+			e.spoil = func(w http.ResponseWriter, x *execution, page int, head string, _ []byte) bool {
+				return rand.IntN(spoiltOne) == 0 && writeWithoutEnd(e, w, x, page, head)
+			}
+		}
 		entries = append(entries, e.entry())
 	}
 	p.publish(entries...)
@@ -44,37 +45,61 @@
 		return "", err
 	}
 	watch := p.enforceMemory(front)
-
 	var wg sync.WaitGroup
 	var served, lost atomic.Int64
-	stop := time.Now().Add(8 * time.Second)
-	for range usual {
+	stop := time.Now().Add(15 * time.Second)
+	for range sessions {
 		wg.Go(func() { p.lookups(front, stop, &served, &lost) })
 	}
-	time.Sleep(2 * time.Second)
-	if p.trouble {
-		p.note("%d bad clients send %d requests of %d bytes each", bad, atOnce, statement)
-		for range bad {
-			wg.Go(func() { sendAtOnce(front.addr, atOnce, statement, badSeconds*time.Second) })
-		}
-	}
 	wg.Wait()
-	time.Sleep(100 * time.Millisecond)
 	peak, killed := watch()
-	p.note("peak of resident memory, without files: %.1f MB of %d; usual requests served %d, lost %d",
+	p.note("most resident memory, without files: %.1f MB of %d; requests served %d, lost %d",
 		peak, lim.memoryMB, served.Load(), lost.Load())
 	switch {
 	case killed:
-		return fmt.Sprintf("the front end held %.1f MB, its limit is %d MB, and was killed; %d usual requests were lost",
+		return fmt.Sprintf("the front end held %.1f MB, its limit is %d MB, and was killed; %d requests were lost",
 			peak, lim.memoryMB, lost.Load()), nil
 	case !front.running():
 		return fmt.Sprintf("the front end ended: %v", front.err), nil
 	case served.Load() == 0:
-		return "", fmt.Errorf("no usual request was served")
+		return "", fmt.Errorf("no request was served")
 	}
 	return "", nil
 }
 
+// filler is what an answer without an end keeps sending.
+var filler = []byte(strings.Repeat("x", 1<<20))
+
+// writeWithoutEnd writes an answer whose head never ends, or one that claims 3 GB, and keeps sending for 3 s.
+func writeWithoutEnd(e *engine, w http.ResponseWriter, x *execution, page int, head string) bool {
+	hijacker, ok := w.(http.Hijacker)
+	if !ok {
+		return false
+	}
+	conn, out, err := hijacker.Hijack()
+	if err != nil {
+		return false
+	}
+	kind, end := "head without an end", "X-Note: "
+	if rand.IntN(2) == 0 {
+		kind, end = "3 GB", "Content-Length: 3221225472\r\n\r\n"
+	}
+	_, _ = out.WriteString("HTTP/1.1 200 OK\r\n" + head + end)
+	_ = out.Flush()
+	go func() {
+		defer conn.Close()
+		_ = conn.SetDeadline(time.Now().Add(3 * time.Second))
+		sent, err := 0, error(nil)
+		for err == nil {
+			var n int
+			n, err = conn.Write(filler)
+			sent += n
+		}
+		e.note("engine %s answered %s page=%d spoilt: %s, %d bytes until the front end closed", e.spec.Name, x.ID, page, kind, sent)
+	}()
+	return true
+}
+
 // enforceMemory kills a front end that holds more memory than its limit, as the platform does. The result stops the
 // watch, and returns the most memory that was seen.
 func (p *platform) enforceMemory(front *frontEnd) (stop func() (peakMB float64, killed bool)) {
@@ -129,25 +154,5 @@
 		if a.kind() == "served" {
 			served.Add(1)
 		}
-		time.Sleep(20 * time.Millisecond)
-	}
-}
-
-// sendAtOnce opens a session, sends n requests with a statement of the given size at once, and reads whatever comes.
-func sendAtOnce(addr string, n, size int, stay time.Duration) {
-	conn, err := net.Dial("tcp", addr)
-	if err != nil {
-		return
-	}
-	defer conn.Close()
-	_ = conn.SetDeadline(time.Now().Add(stay))
-	var b strings.Builder
-	b.WriteString(packet(1, loginPayload))
-	for range n {
-		q := newRequest("report", 20*time.Second, 4000)
-		q.statement += " -- " + strings.Repeat("x", size-len(q.statement)-4)
-		b.WriteString(packet(0, q.payload()))
 	}
-	go func() { _, _ = io.WriteString(conn, b.String()) }()
-	_, _ = io.Copy(io.Discard, conn)
 }
