--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -7,7 +7,7 @@
 	echo "the build of deploy/balancer.toml and review/build.sh come first" >&2
 	exit 2
 fi
-timeout -k 2 117 review/bin/standin case "$(basename "$case")" "$case"
+timeout -k 2 117 review/bin/standin "$(basename "$case")" "$case"
 code=$?
 [ "$code" -le 1 ] || code=2
 exit "$code"
--- a/review/standin/engine.go
+++ b/review/testdata/standin/engine.go
@@ -3,15 +3,11 @@
 package main
 
 import (
-	"bytes"
-	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"os"
-	"os/exec"
 	"strconv"
 	"strings"
 	"sync"
@@ -230,69 +226,3 @@
 	}
 	return runs
 }
-
-// engineProcess is an engine in a process of its own.
-type engineProcess struct {
-	*process
-	spec engineSpec
-}
-
-// startEngineProcess starts an engine as a process, which notes what it does to the record.
-func (p *platform) startEngineProcess(spec engineSpec) (*engineProcess, error) {
-	var err error
-	if spec.Addr, err = freeAddress(); err != nil {
-		return nil, err
-	}
-	text, err := json.Marshal(spec)
-	if err != nil {
-		return nil, err
-	}
-	program, err := os.Executable()
-	if err != nil {
-		return nil, err
-	}
-	cmd := exec.Command(program, "engine", string(text))
-	cmd.Stdout = noteWriter{p}
-	pr, err := p.start(spec.Name, cmd)
-	if err != nil {
-		return nil, err
-	}
-	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
-		if conn, err := net.Dial("tcp", spec.Addr); err == nil {
-			_ = conn.Close()
-			return &engineProcess{pr, spec}, nil
-		}
-	}
-	return nil, fmt.Errorf("engine %s does not listen", spec.Name)
-}
-
-// noteWriter copies what a process writes to the record.
-type noteWriter struct{ p *platform }
-
-func (w noteWriter) Write(b []byte) (int, error) {
-	for line := range bytes.Lines(b) {
-		w.p.note("%s", bytes.TrimSpace(line))
-	}
-	return len(b), nil
-}
-
-// runEngineProcess runs an engine until the process is killed. Each line on standard output has the Unix time in
-// milliseconds.
-func runEngineProcess(text string) {
-	var spec engineSpec
-	if err := json.Unmarshal([]byte(text), &spec); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(exitNotRun)
-	}
-	var mu sync.Mutex
-	_, err := startEngine(spec, func(format string, args ...any) {
-		mu.Lock()
-		defer mu.Unlock()
-		fmt.Printf("unix_ms=%d "+format+"\n", append([]any{time.Now().UnixMilli()}, args...)...)
-	})
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(exitNotRun)
-	}
-	select {}
-}
