Fetch a page again if rows follow its body: its Content-Length was too short

Cause: parseBody takes the first Content-Length bytes and CheckRows accepts any number of whole rows, so a body that ends early at the end of a row looks complete. The bytes behind it were looked at only before a further call, and then only the connection was given up.

Two runs, a lost page and a reused connection are ruled out.

Bytes behind a body that are a row, or may become one, make the answer malformed: the existing recovery asks again with GET, never POST. Rows in place of the next page's response invalidate the page before. New counter truncated_page.

--- a/internal/engine/attempt.go
+++ b/internal/engine/attempt.go
@@ -47,6 +47,8 @@
 	// unconfirmed is a connection that has carried another query and is not trusted. A response on this connection may
 	// belong to the other query, and counts only once confirm has succeeded.
 	unconfirmed *connection
+	suspect     *suspectPage // the latest page that may be truncated; nil: none
+	rereads     int          // how often the result was read again because an earlier page was truncated
 }
 
 func (a *attempt) isCancelled() bool {
@@ -83,7 +85,10 @@
 			r, err = a.poll()
 		case r.status == statusOK:
 			firstPages, firstSize := r.pageCount, len(r.body)
-			status, rows := a.readResult(r)
+			var rows []byte
+			if status, rows, err = a.readResult(r); err != nil {
+				continue
+			}
 			if !unconfirmed || (status == admission.OK && a.confirm(firstPages, rows[:firstSize])) {
 				return status, rows
 			}
--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -22,6 +22,10 @@
 	if a.conn == nil || !a.conn.reusable() {
 		if a.conn != nil && a.conn.hasSurplus() {
 			a.client.idlePool.reportMalformed(a.instance)
+			if a.conn.holdsRow() {
+				a.closeConnection()
+				return response{}, errPreviousTruncated
+			}
 		}
 		a.closeConnection()
 		conn, err := a.redial()
@@ -44,9 +48,15 @@
 func (a *attempt) readResponse(check func(response) error) (response, error) {
 	a.lastCallAt = time.Now()
 	r, err := a.conn.receive(a.lastCallAt.Add(callTimeout))
+	if err != nil && a.conn.holdsRow() {
+		err = errPreviousTruncated
+	}
 	if err == nil {
 		err = check(r)
 	}
+	if err == nil {
+		r, err = a.checkTruncation(r)
+	}
 	if err != nil {
 		a.conn.abort()
 	}
--- a/internal/engine/connection.go
+++ b/internal/engine/connection.go
@@ -89,6 +89,11 @@
 	return c.raw.Writer().Flush()
 }
 
+// maxResponseBytes returns the size in bytes that a response does not exceed, interim responses included.
+func (c *connection) maxResponseBytes() int {
+	return 2*maxHeadBytes + cmp.Or(c.bodyLimit, maxBodyBytes)
+}
+
 // receive reads one response before the deadline. The slices of the response are valid until reusable or close is
 // called. Once a response has begun, the rest of the response must arrive within partialResponseTimeout: an engine may
 // stop in the middle of a response and keep the connection open.
@@ -110,6 +115,7 @@
 		parsed, n, err := parseResponse(buf, cmp.Or(c.bodyLimit, maxBodyBytes))
 		if !errors.Is(err, errIncomplete) {
 			c.responseBytes, c.closing = n, parsed.closes
+			parsed.surplus = buf[n:]
 			return parsed, err
 		}
 		if end := time.Now().Add(partialResponseTimeout); want == 1 && end.Before(deadline) {
--- a/internal/engine/response.go
+++ b/internal/engine/response.go
@@ -40,7 +40,9 @@
 	pageNumber    int // -1: absent
 	workMs        float64
 	memoryMB      float64
-	closes        bool // the connection closes after this response
+	closes        bool   // the connection closes after this response
+	hasLength     bool   // the body ends where Content-Length says
+	surplus       []byte // the bytes behind the response that have arrived with it
 }
 
 // parseResponse parses one response with a body of at most maxBody bytes from the start of buf. parseResponse returns
@@ -129,7 +131,7 @@
 	case len(buf) < length:
 		return 0, errIncomplete
 	}
-	r.body = buf[:length]
+	r.body, r.hasLength = buf[:length], true
 	return length, nil
 }
 
--- a/internal/engine/result.go
+++ b/internal/engine/result.go
@@ -15,9 +15,13 @@
 	maxResultBytes = 1 << 20
 )
 
+// maxRereads bounds how often one attempt reads its result again from the first page.
+const maxRereads = 10
+
 // readResult reads the complete result of a query that has succeeded. r is the response with the first page. If a page
-// cannot be read, the attempt ends without rows: a partial result must not reach a client.
-func (a *attempt) readResult(r response) (admission.Status, []byte) {
+// cannot be read, the attempt ends without rows: a partial result must not reach a client. An error means that a page
+// that had been read was truncated: the result must be read again from its first page.
+func (a *attempt) readResult(r response) (admission.Status, []byte, error) {
 	a.outcome.Work = time.Duration(r.workMs * float64(time.Millisecond))
 	a.outcome.MemoryMB = r.memoryMB
 	a.outcome.Report = parseLoadReport(r.loadReport)
@@ -28,38 +32,44 @@
 	copycount.Add(copycount.Pages, len(r.body))
 	for page := 1; page < pageCount; page++ {
 		var status admission.Status
-		if r, status = a.readPage(page); status != admission.OK {
-			return status, nil
+		var err error
+		if r, status, err = a.readPage(page); err != nil || status != admission.OK {
+			return status, nil, err
 		}
 		copycount.Add(copycount.Pages, len(r.body))
 		if rows = append(rows, r.body...); len(rows) > maxResultBytes {
 			a.client.options.Counters.Add("result_too_large", 1)
-			return admission.Errored, nil
+			return admission.Errored, nil, nil
 		}
 	}
-	return admission.OK, rows
+	return admission.OK, rows, nil
 }
 
-// readPage reads one page. A lost or malformed response is requested again on a new connection.
-func (a *attempt) readPage(page int) (response, admission.Status) {
+// readPage reads one page. A lost or malformed response is requested again on a new connection. The error is
+// errPreviousTruncated or nil.
+func (a *attempt) readPage(page int) (response, admission.Status, error) {
 	path := pagePath(a.exchange.ID, page)
 	check := func(r response) error { return checkPage(r, page) }
 	for polls, timeouts := 0, 0; ; polls++ {
 		r, err := a.call("GET", path, check)
 		switch {
 		case err == nil && r.status == statusOK:
-			return r, admission.OK
+			return r, admission.OK, nil
 		case err == nil:
 			a.client.options.Counters.Add("no_page", 1)
-			return r, admission.Errored
+			return r, admission.Errored, nil
+		case errors.Is(err, errPreviousTruncated) && a.rereads < maxRereads:
+			a.rereads++
+			a.client.options.Counters.Add("truncated_page", 1)
+			return r, admission.OK, err
 		}
 		a.client.options.Counters.Add("lost_page", 1)
 		if isTimeout(err) {
 			timeouts++
 		}
 		if errors.Is(err, errRetired) || isRefused(err) || polls == maxFailedPolls || timeouts > maxTimeouts ||
-			a.isCancelled() || time.Now().After(a.deadline) {
-			return r, admission.Reset
+			errors.Is(err, errPreviousTruncated) || a.isCancelled() || time.Now().After(a.deadline) {
+			return r, admission.Reset, nil
 		}
 	}
 }
