Bound what answers without an end hold in memory: small receive buffers, no copy

Cause: netpoll's poller reads a connection without a bound and gives way to the goroutine that checks the size only once it finds no input, or after 10 ms; and that goroutine peeked at, and so copied, all of the input before the check.

Change: connections to engines get a receive buffer of 8 KB, that of the change log 64 KB; receive peeks at no more than a response may have. A response may have 48 KB, as a page has 6,000 bytes and a result 48,000: larger ones would wait for the window on loopback.

--- a/internal/engine/changelog.go
+++ b/internal/engine/changelog.go
@@ -58,6 +58,7 @@
 	}
 	w.timeouts.DialSucceeded(time.Since(began))
 	conn.bodyLimit = maxChangeLogBytes
+	conn.limitReceiveBuffer(changeLogReceiveBuffer)
 	defer conn.close()
 	defer context.AfterFunc(ctx, conn.close)()
 	for {
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -185,6 +185,9 @@
 func (c *Client) dial(address string, use socketUse) (*connection, error) {
 	for {
 		conn, err := c.sockets.dial(context.Background(), address, c.options.ConnectTimeout, use)
+		if err == nil {
+			conn.limitReceiveBuffer(engineReceiveBuffer)
+		}
 		if !errors.Is(err, errNoSocket) || !c.idlePool.evict() {
 			return conn, err
 		}
--- a/internal/engine/connection.go
+++ b/internal/engine/connection.go
@@ -44,6 +44,15 @@
 	c.close()
 }
 
+// limitReceiveBuffer sets the size of the kernel's receive buffer. netpoll reads all input into memory, even while the
+// goroutine that checks the size of the input waits for the processor, and its poller gives way only when it finds no
+// input. The poller empties a small buffer faster than the peer fills it.
+func (c *connection) limitReceiveBuffer(bytes int) {
+	if conn, ok := c.raw.(netpoll.Conn); ok {
+		_ = syscall.SetsockoptInt(conn.Fd(), syscall.SOL_SOCKET, syscall.SO_RCVBUF, bytes)
+	}
+}
+
 // reusable releases the current response, and reports whether the connection may carry another call. A connection with
 // surplus bytes after the response is not reusable: the next call would read those bytes as its response.
 func (c *connection) reusable() bool {
@@ -108,7 +117,8 @@
 		if _, err := r.Peek(want); err != nil {
 			return response{}, err
 		}
-		buf, err := r.Peek(r.Len())
+		// Peek copies input that lies in several buffers, so more than a response may have is not looked at.
+		buf, err := r.Peek(min(r.Len(), c.maxResponseBytes()))
 		if err != nil {
 			return response{}, err
 		}
@@ -118,6 +128,9 @@
 			parsed.surplus = buf[n:]
 			return parsed, err
 		}
+		if len(buf) == c.maxResponseBytes() {
+			return response{}, errTooLarge
+		}
 		if end := time.Now().Add(partialResponseTimeout); want == 1 && end.Before(deadline) {
 			deadline = end
 		}
--- a/internal/engine/response.go
+++ b/internal/engine/response.go
@@ -11,8 +11,8 @@
 // Size limits of the responses of engines and of the change log.
 const (
 	maxHeadBytes      = 16 << 10
-	maxBodyBytes      = 256 << 10 // of an engine's response
-	maxChangeLogBytes = 4 << 20   // of a response of the change log: some 27,000 engines in one list
+	maxBodyBytes      = 48 << 10 // of an engine's response; a page has at most 6,000 bytes, a whole result 48,000
+	maxChangeLogBytes = 4 << 20  // of a response of the change log: some 27,000 engines in one list
 )
 
 // maxNumber bounds the numbers in a response: milliseconds of work, megabytes of memory, and fractions.
--- a/internal/engine/sockets.go
+++ b/internal/engine/sockets.go
@@ -19,6 +19,14 @@
 	writeTimeout = time.Second
 )
 
+// Sizes of the kernel's receive buffers, in bytes. A response that is larger than the first window of a connection,
+// some 64 KB, needs a buffer from which the kernel can open the window again: a response of the change log may be that
+// large, a response of an engine may not.
+const (
+	engineReceiveBuffer    = 8 << 10
+	changeLogReceiveBuffer = 64 << 10
+)
+
 // errNoSocket reports that the socket limit or the file descriptor limit is reached.
 var errNoSocket = errors.New("engine: no socket available")
 
