Give connections a larger receive buffer while further pages of a result are read

Change: 32 KB once the first page says that there are more; queries, polls and single pages keep 8 KB, which is what bounds answers without an end.

--- a/internal/engine/result.go
+++ b/internal/engine/result.go
@@ -30,6 +30,9 @@
 	rows := make([]byte, 0, min(len(r.body)*pageCount, maxResultBytes))
 	rows = append(rows, r.body...)
 	copycount.Add(copycount.Pages, len(r.body))
+	if pageCount > 1 {
+		a.conn.limitReceiveBuffer(pagedReceiveBuffer)
+	}
 	for page := 1; page < pageCount; page++ {
 		var status admission.Status
 		var err error
--- a/internal/engine/sockets.go
+++ b/internal/engine/sockets.go
@@ -24,6 +24,7 @@
 // large, a response of an engine may not.
 const (
 	engineReceiveBuffer    = 8 << 10
+	pagedReceiveBuffer     = 32 << 10 // while the further pages of a result are read: fewer, larger reads
 	changeLogReceiveBuffer = 64 << 10
 )
 
