Read the memory of a tested process through the one reader of its status file

Cause: residentMB of the new memory tests read and parsed /proc/PID/status again, beside processStatus and peakMemoryKB. Change: memoryKB takes the field; residentMB and peakMemoryKB call it. Assertions and bounds are as they were.

--- a/cmd/gateway/memory_test.go
+++ b/cmd/gateway/memory_test.go
@@ -1,18 +1,14 @@
 package main_test
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"os"
-	"strconv"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
-	"github.com/stretchr/testify/require"
 )
 
 // memoryLimitMB is the limit that the platform sets for the process in these tests.
@@ -22,15 +18,7 @@
 const loadPeriod = 3 * time.Second
 
 // residentMB returns the memory of the process that is not backed by files.
-func (r *testGateway) residentMB() float64 {
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", r.cmd.Process.Pid))
-	require.NoError(r.t, err)
-	_, rest, ok := strings.Cut(string(status), "RssAnon:")
-	require.True(r.t, ok, "the process has ended")
-	kilobytes, err := strconv.Atoi(strings.Fields(rest)[0])
-	require.NoError(r.t, err)
-	return float64(kilobytes) / 1024
-}
+func (r *testGateway) residentMB() float64 { return float64(r.memoryKB("RssAnon")) / 1024 }
 
 // peakMB returns the most memory that the process has within a period.
 func (r *testGateway) peakMB(period time.Duration) (peak float64) {
--- a/cmd/gateway/pause_test.go
+++ b/cmd/gateway/pause_test.go
@@ -187,13 +187,16 @@
 	}
 }
 
-// peakMemoryKB returns the peak resident memory of the process in KB.
-func (r *testGateway) peakMemoryKB() int {
-	n, err := strconv.Atoi(strings.TrimSuffix(r.processStatus("VmHWM"), " kB"))
-	require.NoError(r.t, err)
+// memoryKB returns a field of the status file of the process that is a size in KB.
+func (r *testGateway) memoryKB(field string) int {
+	n, err := strconv.Atoi(strings.TrimSuffix(r.processStatus(field), " kB"))
+	require.NoError(r.t, err, field)
 	return n
 }
 
+// peakMemoryKB returns the peak resident memory of the process in KB.
+func (r *testGateway) peakMemoryKB() int { return r.memoryKB("VmHWM") }
+
 // Guards against a rejection that is lost to a reset. A client whose session is rejected has often sent its first
 // request already.
 func TestSessionRejectionIsDelivered(t *testing.T) {
