Close a session at shutdown only after two checks that found no input

Cause: Shutdown closes sessions without unread input, and hasUnread missed input that netpoll was moving from the kernel to its buffer. It looked at netpoll's buffer before the kernel's, and netpoll shows nothing between its system call and the update of its buffer.

Change: the kernel is asked first, and a session is closed once two consecutive checks found it idle and it has read no packet in between. KILL QUERY, timeouts and evictions use the same check and get its first part.

--- a/internal/mysql/recorded_test.go
+++ b/internal/mysql/recorded_test.go
@@ -68,6 +68,14 @@
 
 // startServer starts a server that is shut down at the end of the test, and returns its address.
 func startServer(t *testing.T, handler *scriptedHandler) string {
+	t.Helper()
+	address, shutdown := startServerWithShutdown(t, handler)
+	t.Cleanup(shutdown)
+	return address
+}
+
+// startServerWithShutdown starts a server and returns its address and a function that shuts it down.
+func startServerWithShutdown(t *testing.T, handler *scriptedHandler) (address string, shutdown func()) {
 	t.Helper()
 	_, names, err := platformconfig.Parse([]byte(`{"services":[{"name":"lookup","semantics":"read_like"},
 		{"name":"load","semantics":"non_idempotent"}],"tenants":[{"name":"north"},{"name":"south"}]}`))
@@ -79,14 +87,13 @@
 	require.NoError(t, err)
 	served := make(chan error, 1)
 	go func() { served <- s.Serve("127.0.0.1:0") }()
-	t.Cleanup(func() {
+	_, address, _ = strings.Cut(strings.TrimSpace(<-logged), "address=")
+	return address, func() {
 		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 		defer cancel()
 		assert.NoError(t, s.Shutdown(ctx))
 		assert.NoError(t, <-served)
-	})
-	_, address, _ := strings.Cut(strings.TrimSpace(<-logged), "address=")
-	return address
+	}
 }
 
 func dial(t *testing.T, address string) net.Conn {
--- a/internal/mysql/session.go
+++ b/internal/mysql/session.go
@@ -37,6 +37,7 @@
 	openExchange  *exchange.Exchange // the request being served
 	readingPacket bool
 	killed        bool // KILL QUERY was processed before the query to cancel was read
+	foundIdle     bool // the last check of Shutdown found the session idle, and no packet has been read since
 	phase         phase
 	phaseSince    time.Time // start of the phase; while greeted, the time of the connect
 	registered    bool      // requests are accepted; set to false before the connection is closed
@@ -66,6 +67,7 @@
 func (s *session) enter(p phase) {
 	s.server.mu.Lock()
 	defer s.server.mu.Unlock()
+	s.foundIdle = false
 	if s.readingPacket = p == reading; p == idle {
 		s.killed = false // openRequest clears killed for each query; after any other packet there is no query to cancel
 	}
@@ -96,15 +98,13 @@
 	s.server.mu.Unlock()
 }
 
-// hasUnread reports whether netpoll's buffer or the kernel's receive buffer holds unread input.
+// hasUnread reports whether the kernel's receive buffer or netpoll's buffer holds unread input. The order of the checks
+// matters: netpoll moves input from the kernel to its own buffer, and input that moves between them must not be missed.
 func (s *session) hasUnread() bool {
-	if s.conn.Reader().Len() > 0 {
-		return true
+	if c, ok := s.conn.(netpoll.Conn); ok {
+		if n, err := unix.IoctlGetInt(c.Fd(), unix.TIOCINQ); err == nil && n > 0 {
+			return true
+		}
 	}
-	c, ok := s.conn.(netpoll.Conn)
-	if !ok {
-		return false
-	}
-	n, err := unix.IoctlGetInt(c.Fd(), unix.TIOCINQ)
-	return err == nil && n > 0
+	return s.conn.Reader().Len() > 0
 }
--- a/internal/mysql/shutdown.go
+++ b/internal/mysql/shutdown.go
@@ -10,7 +10,7 @@
 
 // requiredIdleChecks is the number of consecutive checks that must find neither a pending connection nor a busy session
 // before the listener is closed. One check could miss a connection that has left the kernel's accept queue and is not
-// registered yet.
+// registered yet, or a request that netpoll has read and not yet added to its buffer.
 const requiredIdleChecks = 2
 
 // Shutdown closes each session as soon as it has no open request, and then the listener. When ctx ends, Shutdown closes
@@ -21,7 +21,7 @@
 	tick := time.NewTicker(expiryInterval)
 	defer tick.Stop()
 	for idleChecks := 0; idleChecks < requiredIdleChecks; idleChecks++ {
-		if s.acceptPending() || s.closeIdle() > 0 {
+		if !s.checkIdle(idleChecks > 0) {
 			idleChecks = -1
 		}
 		select {
@@ -33,6 +33,17 @@
 	return s.closeAll(ctx)
 }
 
+// checkIdle closes idle sessions and reports whether there is neither a pending connection nor a busy session.
+// idleBefore is the result of the previous check: a session that is newly idle after an idle check was used in between,
+// and needs another check.
+func (s *Server) checkIdle(idleBefore bool) bool {
+	if s.acceptPending() {
+		return false
+	}
+	busy, newlyIdle := s.closeIdle()
+	return busy == 0 && (newlyIdle == 0 || !idleBefore)
+}
+
 // closeAll unregisters the remaining sessions, so that no further request is accepted, and closes them and the
 // listener.
 func (s *Server) closeAll(ctx context.Context) error {
@@ -57,17 +68,22 @@
 	return err == nil && n > 0 && fds[0].Revents&unix.POLLIN != 0
 }
 
-// closeIdle closes the sessions that have neither an open request nor unread input, and returns the number of busy
-// sessions. A session that has just connected stays open and is not counted: its client may be about to cancel another
-// session's query.
-func (s *Server) closeIdle() (busy int) {
+// closeIdle closes the sessions that two consecutive calls found idle, that is, with neither an open request nor unread
+// input. It returns the numbers of busy sessions and of sessions that only this call found idle. A session that has just
+// connected stays open and is not counted: its client may be about to cancel another session's query.
+func (s *Server) closeIdle() (busy, newlyIdle int) {
 	var idleSessions []*session
 	s.mu.Lock()
 	for _, ses := range s.sessions.byID {
 		switch {
 		case ses.phase == serving || ses.phase == closing || ses.readingPacket || ses.hasUnread():
+			ses.foundIdle = false
 			busy++
-		case ses.phase != greeted || time.Since(ses.phaseSince) >= drainTimeout:
+		case ses.phase == greeted && time.Since(ses.phaseSince) < drainTimeout:
+		case !ses.foundIdle:
+			ses.foundIdle = true
+			newlyIdle++
+		default:
 			idleSessions = append(idleSessions, ses)
 			s.sessions.remove(ses)
 		}
@@ -76,5 +92,5 @@
 	for _, ses := range idleSessions {
 		_ = ses.conn.Close()
 	}
-	return busy
+	return busy, newlyIdle
 }
