--- a/internal/mysql/session.go
+++ b/internal/mysql/session.go
@@ -37,7 +37,7 @@
 	openExchange  *exchange.Exchange // the request being served
 	readingPacket bool
 	killed        bool // KILL QUERY was processed before the query to cancel was read
-	foundIdle     bool // the last check of Shutdown found the session idle, and no packet has been read since
+	foundIdle     bool // the last check of Shutdown found the session idle; no packet has been read since
 	phase         phase
 	phaseSince    time.Time // start of the phase; while greeted, the time of the connect
 	registered    bool      // requests are accepted; set to false before the connection is closed
@@ -98,8 +98,8 @@
 	s.server.mu.Unlock()
 }
 
-// hasUnread reports whether the kernel's receive buffer or netpoll's buffer holds unread input. The order of the checks
-// matters: netpoll moves input from the kernel to its own buffer, and input that moves between them must not be missed.
+// hasUnread reports whether the kernel's receive buffer or netpoll's buffer holds unread input. The kernel is asked
+// first, because netpoll moves input from the kernel's buffer to its own.
 func (s *session) hasUnread() bool {
 	if c, ok := s.conn.(netpoll.Conn); ok {
 		if n, err := unix.IoctlGetInt(c.Fd(), unix.TIOCINQ); err == nil && n > 0 {
--- a/internal/mysql/shutdown.go
+++ b/internal/mysql/shutdown.go
@@ -69,8 +69,8 @@
 }
 
 // closeIdle closes the sessions that two consecutive calls found idle, that is, with neither an open request nor unread
-// input. It returns the numbers of busy sessions and of sessions that only this call found idle. A session that has just
-// connected stays open and is not counted: its client may be about to cancel another session's query.
+// input. It returns the numbers of busy sessions and of sessions that only this call found idle. A session that has
+// just connected stays open and is not counted: its client may be about to cancel another session's query.
 func (s *Server) closeIdle() (busy, newlyIdle int) {
 	var idleSessions []*session
 	s.mu.Lock()
