--- a/cmd/gateway/disconnect_matrix_test.go
+++ b/cmd/gateway/disconnect_matrix_test.go
@@ -152,6 +152,7 @@
 	waitBlocked  func(r *testGateway, requests int) // returns when that many requests wait
 	disconnectAt func() time.Time                   // returns the time at which the clients disconnect; nil: at once
 	remove       func(r *testGateway)
+	waitRemoved  func()                             // returns when a paused program could act on the removal; nil: at once
 	waitEnded    func(r *testGateway, requests int) // returns when the attempts in flight have ended; nil: there are none
 }
 
@@ -177,15 +178,17 @@
 	e.handle = posts.wrap(nil)
 	// The remote address 127.0.0.1, the port and the state SYN_SENT, as in /proc/net/tcp.
 	remote := fmt.Appendf(nil, " 0100007F:%04X 02 ", e.Listener.Addr().(*net.TCPAddr).Port)
+	waitConnecting := func(connects int) {
+		require.Eventually(t, func() bool {
+			list, err := os.ReadFile("/proc/net/tcp")
+			return err == nil && bytes.Count(list, remote) == connects
+		}, 10*time.Second, time.Millisecond)
+	}
 	return &obstacle{
 		class: "lookup", engines: []*engine{e},
-		waitBlocked: func(r *testGateway, requests int) {
-			require.Eventually(t, func() bool {
-				list, err := os.ReadFile("/proc/net/tcp")
-				return err == nil && bytes.Count(list, remote) == requests
-			}, 10*time.Second, time.Millisecond)
-		},
-		remove: func(*testGateway) { open() },
+		waitBlocked: func(_ *testGateway, requests int) { waitConnecting(requests) },
+		remove:      func(*testGateway) { open() },
+		waitRemoved: func() { waitConnecting(0) },
 		waitEnded: func(r *testGateway, requests int) {
 			require.Eventually(t, func() bool {
 				return r.counter("ended_moot")+int64(e.count("POST")) >= int64(requests)
@@ -371,6 +374,9 @@
 	}
 	if pauseAt == removalFirst {
 		o.remove(r)
+		if o.waitRemoved != nil {
+			o.waitRemoved()
+		}
 		time.Sleep(disconnectBound) // for the kernel to receive the event while the program is paused
 	}
 	for _, d := range clients {
