Decide in one place whether a result is read again from its first page

readPage asked for errPreviousTruncated in two places, and no test held the bound maxRereads or the counter truncated_page. startReread does both; the behaviour is the same: the new test of the bound and the counter's value passed before the change as well.

--- a/internal/engine/result.go
+++ b/internal/engine/result.go
@@ -61,22 +61,33 @@
 		case err == nil:
 			a.client.options.Counters.Add("no_page", 1)
 			return r, admission.Errored, nil
-		case errors.Is(err, errPreviousTruncated) && a.rereads < maxRereads:
-			a.rereads++
-			a.client.options.Counters.Add("truncated_page", 1)
-			return r, admission.OK, err
+		case errors.Is(err, errPreviousTruncated):
+			status, err := a.startReread(err)
+			return r, status, err
 		}
 		a.client.options.Counters.Add("lost_page", 1)
 		if isTimeout(err) {
 			timeouts++
 		}
 		if errors.Is(err, errRetired) || isRefused(err) || polls == maxFailedPolls || timeouts > maxTimeouts ||
-			errors.Is(err, errPreviousTruncated) || a.isCancelled() || time.Now().After(a.deadline) {
+			a.isCancelled() || time.Now().After(a.deadline) {
 			return r, admission.Reset, nil
 		}
 	}
 }
 
+// startReread counts a further read of the result from its first page, and returns cause as the error that starts it.
+// Once maxRereads is reached, it returns the status that ends the attempt instead.
+func (a *attempt) startReread(cause error) (admission.Status, error) {
+	if a.rereads == maxRereads {
+		a.client.options.Counters.Add("lost_page", 1)
+		return admission.Reset, nil
+	}
+	a.rereads++
+	a.client.options.Counters.Add("truncated_page", 1)
+	return admission.OK, cause
+}
+
 // checkPage validates the response to a call for a page. An error status is valid: the engine no longer has the page.
 func checkPage(r response, page int) error {
 	switch {
--- a/internal/engine/truncation_test.go
+++ b/internal/engine/truncation_test.go
@@ -22,10 +22,18 @@
 }
 
 func runAttempt(t *testing.T, script responseFunc) (reportedOutcome, *fakeEngine) {
+	t.Helper()
+	outcome, e, _ := runCountedAttempt(t, script)
+	return outcome, e
+}
+
+// runCountedAttempt is runAttempt with the value of the counter truncated_page.
+func runCountedAttempt(t *testing.T, script responseFunc) (outcome reportedOutcome, e *fakeEngine, truncatedPages int) {
 	t.Helper()
 	c, sink, _, e := newTestClient(t, 100, script)
 	c.Start(newExchange(), 0, 7, admission.Terms{Priority: 1}, 10*time.Second, time.Time{})
-	return <-sink, e
+	outcome = <-sink
+	return outcome, e, int(c.options.Counters.Get("truncated_page"))
 }
 
 // Guards against a result without its last rows: a Content-Length that is too short and ends at the end of a row leaves
@@ -75,13 +83,14 @@
 // the page again gives the same body.
 func TestPageTruncatedEachTimeIsNeverServed(t *testing.T) {
 	t.Parallel()
-	outcome, e := runAttempt(t, func(string, int) string {
+	outcome, e, truncatedPages := runCountedAttempt(t, func(string, int) string {
 		return truncated("X-Batches: 1\r\n", bothRows, len(firstRow))
 	})
 	assert.Equal(t, admission.Reset, outcome.Status)
 	assert.Empty(t, outcome.rows)
 	assert.Equal(t, 1, e.count("POST"))
 	assert.LessOrEqual(t, e.count("GET 0"), maxFailedPolls)
+	assert.Equal(t, 1+e.count("GET 0"), truncatedPages)
 }
 
 // Guards against a complete result that is not served because noise or a duplicate follows each of its responses.
@@ -135,3 +144,19 @@
 		})
 	}
 }
+
+// Guards against an attempt that reads its result again without end, where rows come in place of the next page each
+// time.
+func TestRereadsOfResultAreBounded(t *testing.T) {
+	t.Parallel()
+	outcome, e, truncatedPages := runCountedAttempt(t, func(call string, _ int) string {
+		if call == "GET 1" {
+			return secondRow
+		}
+		return responseOK("X-Batches: 2\r\n", firstRow)
+	})
+	assert.Equal(t, admission.Reset, outcome.Status)
+	assert.Empty(t, outcome.rows)
+	assert.Equal(t, []int{1, maxRereads}, []int{e.count("POST"), e.count("GET 0")})
+	assert.Equal(t, maxRereads, truncatedPages)
+}
