Let the gate of request costs take the minimum of eight measurements

Cause: the gate's own noise, not the program. A measurement can exceed the true cost and never falls below it, so three can all lie over the limit.

Change: the gate measures up to eight times while a count has risen. Baselines stay the minimum of three.

--- a/cmd/gatewayctl/bench.go
+++ b/cmd/gatewayctl/bench.go
@@ -83,7 +83,7 @@
 	flags.StringVar(&o.Counting, "counting", "", "path of a build with the tag count; without it, copies are not counted")
 	flags.StringVar(&o.Only, "only", "", "only scenario to count; default: all")
 	flags.StringVar(&b.gate, "gate", "", "baseline to compare with: exit code 1 if a count has risen by more than a "+
-		"tenth, or by more than 0.5, in each of three measurements")
+		"tenth, or by more than 0.5, in each of eight measurements")
 	flags.StringVar(&b.record, "record", "", "path of a baseline to write, with the minimum of three "+
 		"measurements")
 	flags.BoolVar(&b.json, "json", false, "print one JSON object")
@@ -123,15 +123,20 @@
 	return err
 }
 
+const (
+	baselineMeasurements = 3 // of which a baseline is the minimum
+	gateMeasurements     = 8 // after which a rise over the baseline is reported
+)
+
 // countPath counts the cost of requests: once, or several times if the counts are for a baseline or are compared with
 // one.
 func (b *benchPath) countPath(c *cobra.Command, baseline *bench.Baseline) (map[string]bench.Counts, error) {
 	report := func(line string) { printProgress(c, "%s", line) }
 	switch {
 	case baseline != nil:
-		return bench.PathWithin(c.Context(), b.options, baseline, report)
+		return bench.PathWithin(c.Context(), b.options, baseline, gateMeasurements, report)
 	case b.record != "":
-		return bench.PathMinimum(c.Context(), b.options, report)
+		return bench.PathMinimum(c.Context(), b.options, baselineMeasurements, report)
 	}
 	return bench.Path(c.Context(), b.options, func(scenario string) { report("counting " + scenario) })
 }
