--- /dev/null
+++ b/cmd/gateway/crowd_test.go
@@ -0,0 +1,318 @@
+package main_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	crowdPeriod = 4 * time.Second
+	// largeRequestBytes is the size of a large request, which is under the limit of a packet.
+	largeRequestBytes = 240 << 10
+	// lateAfter is how long after its time an answer still counts as given.
+	lateAfter = 500 * time.Millisecond
+)
+
+// crowd is a set of clients that try to use up the memory or the processor of the process.
+type crowd struct {
+	r       *testGateway
+	stop    chan struct{}
+	running sync.WaitGroup
+	begun   atomic.Int64 // conversations that sent what they had to send
+}
+
+// join starts n clients. Until the crowd is stopped, each of them runs converse again and again, each time on a new
+// connection after the login.
+func (c *crowd) join(n int, converse func(c *crowd, conn net.Conn)) {
+	for range n {
+		c.running.Go(func() {
+			for !c.stopped() {
+				conn, err := net.Dial("tcp", c.r.addr)
+				if err != nil {
+					time.Sleep(10 * time.Millisecond)
+					continue
+				}
+				_ = conn.SetDeadline(time.Now().Add(2 * crowdPeriod))
+				ended := make(chan struct{})
+				go func() {
+					select {
+					case <-c.stop:
+						_ = conn.SetDeadline(time.Now())
+					case <-ended:
+					}
+				}()
+				if login(conn) == nil {
+					converse(c, conn)
+				}
+				close(ended)
+				_ = conn.Close()
+			}
+		})
+	}
+}
+
+func (c *crowd) stopped() bool {
+	select {
+	case <-c.stop:
+		return true
+	default:
+		return false
+	}
+}
+
+// login logs in without a test to fail: the process may close the connection of a crowd's client at any time.
+func login(conn net.Conn) error {
+	if _, err := io.WriteString(conn, packet(1, loginPayload)); err != nil {
+		return err
+	}
+	for range 2 { // the greeting, the answer to the login
+		if err := skipPacket(conn); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// skipPacket reads a packet.
+func skipPacket(conn net.Conn) error {
+	header := make([]byte, 4)
+	if _, err := io.ReadFull(conn, header); err != nil {
+		return err
+	}
+	_, err := io.CopyN(io.Discard, conn, int64(header[0])|int64(header[1])<<8|int64(header[2])<<16)
+	return err
+}
+
+// paddedStatement returns a COM_QUERY payload of the given size with an ID of its own.
+func paddedStatement(class string, size int) string {
+	s := statement(class, 2500)
+	return s + " WHERE note = '" + strings.Repeat("x", max(0, size-len(s)-len(" WHERE note = ''"))) + "'"
+}
+
+// stopHalfWay sends half of a large request and waits until the connection ends.
+func stopHalfWay(c *crowd, conn net.Conn) {
+	request := packet(0, paddedStatement("lookup", largeRequestBytes))
+	if _, err := io.WriteString(conn, request[:len(request)/2]); err == nil {
+		c.begun.Add(1)
+		_, _ = io.Copy(io.Discard, conn)
+	}
+}
+
+// writeSlowly sends a large request in many small pieces.
+func writeSlowly(c *crowd, conn net.Conn) {
+	const pieces = 400
+	request := packet(0, paddedStatement("lookup", largeRequestBytes))
+	for i := range pieces {
+		if _, err := io.WriteString(conn, request[len(request)*i/pieces:len(request)*(i+1)/pieces]); err != nil {
+			return
+		}
+		c.begun.Add(1)
+		time.Sleep(5 * time.Millisecond)
+	}
+	_ = skipPacket(conn)
+}
+
+// sendManyFields sends requests whose comment has very many short fields.
+func sendManyFields(c *crowd, conn net.Conn) {
+	var fields strings.Builder
+	for i := 0; fields.Len() < largeRequestBytes; i++ {
+		fmt.Fprintf(&fields, ",%x=", i)
+	}
+	for !c.stopped() {
+		s := strings.Replace(statement("lookup", 2500), " */", fields.String()+" */", 1)
+		if _, err := io.WriteString(conn, packet(0, s)); err != nil {
+			return
+		}
+		c.begun.Add(1)
+		if err := skipPacket(conn); err != nil {
+			return
+		}
+	}
+}
+
+// sendLargeRequests sends large requests, one at a time.
+func sendLargeRequests(c *crowd, conn net.Conn) {
+	for !c.stopped() {
+		if _, err := io.WriteString(conn, packet(0, paddedStatement("lookup", largeRequestBytes))); err != nil {
+			return
+		}
+		c.begun.Add(1)
+		if (&client{c: conn, r: bufio.NewReader(conn)}).read().code == -1 {
+			return
+		}
+	}
+}
+
+// readSlowly sends several requests at once and reads the answers at 10 KB a second.
+func readSlowly(c *crowd, conn net.Conn) {
+	_ = conn.(*net.TCPConn).SetReadBuffer(4 << 10)
+	const requests = 100
+	var all strings.Builder
+	for range requests {
+		all.WriteString(packet(0, statement("lookup", 2500)))
+	}
+	if _, err := io.WriteString(conn, all.String()); err != nil {
+		return
+	}
+	c.begun.Add(1)
+	for buf := make([]byte, 1<<10); ; time.Sleep(100 * time.Millisecond) {
+		if _, err := conn.Read(buf); err != nil {
+			return
+		}
+	}
+}
+
+// sendUnread sends small commands without end and reads no answer.
+func sendUnread(c *crowd, conn net.Conn) {
+	for {
+		if _, err := conn.Write(manyPings); err != nil {
+			return
+		}
+		c.begun.Add(1)
+	}
+}
+
+// manyPings is a batch of COM_PING packets.
+var manyPings = []byte(strings.Repeat(packet(0, "\x0e"), 4<<10))
+
+// served holds what the ordinary clients of a test got.
+type served struct {
+	mu       sync.Mutex
+	requests int
+	answered int           // with a result
+	lost     []string      // without an answer, or after lateAfter
+	longest  time.Duration // from a request to its answer
+}
+
+// serveOrdinary runs n ordinary clients, each with one request at a time, until stop is closed.
+func serveOrdinary(t *testing.T, r *testGateway, n int, stop <-chan struct{}, payload func() string) *served {
+	t.Helper()
+	s := &served{}
+	var running sync.WaitGroup
+	for range n {
+		running.Go(func() {
+			var conn *client
+			for {
+				select {
+				case <-stop:
+					return
+				case <-time.After(20 * time.Millisecond):
+				}
+				if conn == nil {
+					if conn = r.tryDial(); conn == nil {
+						continue
+					}
+				}
+				if !s.request(conn, payload()) {
+					_ = conn.c.Close()
+					conn = nil
+				}
+			}
+		})
+	}
+	t.Cleanup(running.Wait)
+	return s
+}
+
+// tryDial opens a session, or returns nil if the process turns the client away.
+func (r *testGateway) tryDial() *client {
+	conn, err := net.Dial("tcp", r.addr)
+	if err != nil {
+		return nil
+	}
+	_ = conn.SetDeadline(time.Now().Add(30 * time.Second))
+	if login(conn) != nil {
+		_ = conn.Close()
+		return nil
+	}
+	return &client{t: r.t, c: conn, r: bufio.NewReader(conn)}
+}
+
+// request sends one request of 2.5 s and records its answer. It returns false if the session has ended.
+func (s *served) request(conn *client, payload string) bool {
+	began := time.Now()
+	if _, err := io.WriteString(conn.c, packet(0, payload)); err != nil {
+		return false
+	}
+	a := conn.read()
+	took := time.Since(began)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.requests++
+	s.longest = max(s.longest, took)
+	switch {
+	case a.code == -1, took > 2500*time.Millisecond+lateAfter:
+		s.lost = append(s.lost, fmt.Sprintf("%v: %s", took, a.text))
+	case a.code == 0:
+		s.answered++
+	}
+	return a.code != -1
+}
+
+// The process must stay within its memory, and serve ordinary clients, while hundreds of clients send or read in such
+// a way that the process would have to hold much for each of them.
+func TestCrowdStaysWithinMemory(t *testing.T) {
+	for _, limits := range []platformLimits{{32, 1024}, {48, 256}, {192, 1024}} {
+		for name, converse := range map[string]func(*crowd, net.Conn){
+			"stops half way": stopHalfWay, "writes slowly": writeSlowly, "many fields": sendManyFields,
+			"large requests": sendLargeRequests, "reads slowly": readSlowly, "reads nothing": sendUnread,
+		} {
+			t.Run(fmt.Sprintf("%d MB, %d descriptors, %s", limits.memoryMB, limits.descriptors, name), func(t *testing.T) {
+				testCrowd(t, limits, converse)
+			})
+		}
+	}
+}
+
+func testCrowd(t *testing.T, limits platformLimits, converse func(*crowd, net.Conn)) {
+	t.Helper()
+	const ordinaryClients = 8
+	e := newEngine(t, func(call string, w http.ResponseWriter, _ *http.Request) bool {
+		if call == "POST" {
+			time.Sleep(time.Duration(5+rand.IntN(20)) * time.Millisecond)
+		}
+		return false
+	})
+	e.pages = resultPages(8)
+	r := startPlatform(t, limits, e)
+	c := &crowd{r: r, stop: make(chan struct{})}
+	s := serveOrdinary(t, r, ordinaryClients, c.stop, func() string { return statement("lookup", 2500) })
+	c.join(limits.descriptors/3-ordinaryClients, converse)
+	time.Sleep(crowdPeriod)
+	close(c.stop)
+	c.running.Wait()
+	peak := float64(r.peakMemoryKB()) / 1024
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t.Logf("peak %.1f of %d MB; crowd: %d; ordinary: %d requests, %d served, longest %v",
+		peak, limits.memoryMB, c.begun.Load(), s.requests, s.answered, s.longest)
+	require.Positive(t, c.begun.Load())
+	assert.Less(t, peak, float64(limits.memoryMB))
+	assert.Empty(t, s.lost)
+	assert.Positive(t, s.requests)
+	assert.GreaterOrEqual(t, float64(s.answered), 0.9*float64(s.requests))
+}
+
+// resultPages returns n pages of the largest size that the protocol allows.
+func resultPages(n int) []string {
+	const pageBytes = 6000
+	row := strings.Repeat("x", 30) + "\t" + strings.Repeat("y", 30) + "\t" + strings.Repeat("z", 37) + "\n"
+	page := strings.Repeat(row, pageBytes/len(row))
+	pages := make([]string, n)
+	for i := range pages {
+		pages[i] = page
+	}
+	return pages
+}
--- a/cmd/gateway/fakeengine_test.go
+++ b/cmd/gateway/fakeengine_test.go
@@ -34,9 +34,24 @@
 
 func newEngine(t *testing.T, handle func(call string, w http.ResponseWriter, q *http.Request) bool) *engine {
 	t.Helper()
-	e := &engine{pages: []string{"a\tb\tc\n"}, handle: handle, callsByConnection: map[string]int{}}
-	e.Server = httptest.NewServer(e)
-	e.name = fmt.Sprintf("s-%08x", e.Listener.Addr().(*net.TCPAddr).Port)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	return newEngineAt(t, l, handle)
+}
+
+// newEngineAt starts a fake engine on a listener.
+func newEngineAt(
+	t *testing.T, l net.Listener, handle func(call string, w http.ResponseWriter, q *http.Request) bool,
+) *engine {
+	t.Helper()
+	e := &engine{
+		name:  fmt.Sprintf("s-%08x", l.Addr().(*net.TCPAddr).Port),
+		pages: []string{"a\tb\tc\n"}, handle: handle, callsByConnection: map[string]int{},
+	}
+	e.Server = httptest.NewUnstartedServer(e)
+	_ = e.Listener.Close()
+	e.Listener = l
+	e.Start()
 	t.Cleanup(func() {
 		e.CloseClientConnections()
 		e.Close()
@@ -47,7 +62,7 @@
 func (e *engine) entry(state string, since int64) string {
 	return fmt.Sprintf(`{"name":%q,"address":%q,"zone":"room-a","type":"std-12","group":0,"status":%q,"weight":1,`+
 		`"since_ms":%d}`,
-		e.name, strings.TrimPrefix(e.URL, "http://"), state, since)
+		e.name, e.Listener.Addr(), state, since)
 }
 
 func (e *engine) ServeHTTP(w http.ResponseWriter, q *http.Request) {
--- a/cmd/gateway/helper_test.go
+++ b/cmd/gateway/helper_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -46,6 +47,8 @@
 	log  *lockedBuffer
 	exit chan error
 
+	program          string // the binary to run; empty: the debug build
+	memoryMB         int    // the limit on memory; 0: memoryLimitMB
 	config, path     string // the content written last, and its path
 	settings         string // the path of the operators' settings; empty: none
 	platformSettings string // the platform's settings; empty: defaultPlatformSettings
@@ -115,9 +118,9 @@
 	if r.platformSettings == "" {
 		r.platformSettings = defaultPlatformSettings
 	}
-	config := fmt.Sprintf(`{"name":"n0","listen":%q,"seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":192,
+	config := fmt.Sprintf(`{"name":"n0","listen":%q,"seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":%d,
 		"sockets":%d},"changelog":%q,"known":{"seq":1,"results":[%s]},"settings":%s}`,
-		r.addr, sockets, logAddr, r.events[0], r.platformSettings)
+		r.addr, cmp.Or(r.memoryMB, memoryLimitMB), sockets, logAddr, r.events[0], r.platformSettings)
 	r.run(config)
 	t.Cleanup(func() {
 		_ = r.cmd.Process.Kill()
@@ -160,7 +163,7 @@
 func (r *testGateway) run(config string) {
 	r.path = filepath.Join(r.t.TempDir(), "config.json")
 	r.write(config)
-	r.cmd = exec.Command(program)
+	r.cmd = exec.Command(cmp.Or(r.program, program))
 	r.cmd.Env = append(os.Environ(), "PROXY_CONFIG="+r.path, "PROXY_LISTEN="+r.addr, "BEECHCART_SETTINGS="+r.settings)
 	r.cmd.Stdout, r.cmd.Stderr = r.log, r.log
 	pair, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
