Do not take a new process's word that a query of the old one has never run

Callers saw: a load ran twice. Its engine's process had gone and another one had come up at the address; that process answered the poll with 503 or 504 and X-Unrun, so the load counted as never run and was sent to another engine.

Cause: errorStatus believed X-Unrun on any connection. Only the process that received the POST can know it, and a new connection may lead to another one.

Change: the claim counts only on the connection of the POST. Elsewhere the query may have run (Reset, the engine being alive), and unproved_not_run is counted: a load fails, an idempotent query is retried as after a reset.

--- a/internal/engine/attempt.go
+++ b/internal/engine/attempt.go
@@ -44,6 +44,7 @@
 
 	outcome    admission.Outcome
 	conn       *connection // nil or closed: the next call opens a connection
+	postConn   *connection // the connection that the query was posted on
 	lastCallAt time.Time   // the latest time at which the engine may have received a call for the query
 	// acknowledged reports that the engine has responded to a call for the query. The engine then has the query, unless
 	// the response reported the end of the query. If acknowledged is false, the POST got no response, and the engine may
@@ -116,6 +117,7 @@
 		if status := a.connect(); status != admission.OK {
 			return r, status, nil
 		}
+		a.postConn = a.conn
 		a.writePostHeaders()
 		a.lastCallAt = time.Now()
 		if err = a.conn.send(a.exchange.Statement); err == nil {
--- a/internal/engine/poll.go
+++ b/internal/engine/poll.go
@@ -75,15 +75,21 @@
 }
 
 // errorStatus returns the status of an attempt for a response that is neither a result nor the progress of a running
-// query.
+// query. Only the process that received the POST can know that the query has never run. Another connection may lead to
+// a new process at the same address, so a claim on another connection proves nothing.
 func (a *attempt) errorStatus(r response) admission.Status {
+	provedNotRun := r.notRun && a.conn == a.postConn
 	switch {
-	case r.status == statusNoContent, a.isCancelled() && !r.notRun:
+	case r.status == statusNoContent, a.isCancelled() && !provedNotRun:
 		return admission.Cancelled
-	case r.status == statusUnavailable && r.notRun:
+	case r.status == statusUnavailable && provedNotRun:
 		return admission.Overloaded
-	case r.status == statusGatewayTimeout && r.notRun:
+	case r.status == statusGatewayTimeout && provedNotRun:
 		return admission.NotSent
+	case r.notRun && !provedNotRun:
+		a.client.options.Counters.Add("unproved_not_run", 1)
+		a.outcome.EngineAlive = true
+		return admission.Reset
 	}
 	return admission.Errored
 }
