Remove an engine as soon as another one is listed at its address

Operators saw: a new process at the address of one that had gone was taken for the old one. Until the change log reported the old engine as gone, both stayed listed: queries were sent on behalf of the old one, with what was known about it (a cold process got the load of a warm one), and a drain of the new one did not stop them.

Change: the reader of the change log keeps the owner of each address. An engine that is listed as ready at the address of another one replaces it; a late event about the replaced one does not give the address back, a later start does.

Not in the way of Consul, where decision/discovery settles conflicts of addresses.

--- a/internal/endpoints/changelog.go
+++ b/internal/endpoints/changelog.go
@@ -29,10 +29,13 @@
 	names     platformconfig.Names
 	lastRead  int64 // sequence number of the last event that was read
 	announced int64 // sequence number of the log's last event, as of the last answer
+	owners    addressOwners
 }
 
 // NewChangeLog returns a ChangeLog that has read no event.
-func NewChangeLog(names platformconfig.Names) *ChangeLog { return &ChangeLog{names: names} }
+func NewChangeLog(names platformconfig.Names) *ChangeLog {
+	return &ChangeLog{names: names, owners: newAddressOwners()}
+}
 
 // Seq returns the sequence number of the last event that was read; 0: none.
 func (l *ChangeLog) Seq() int64 { return l.lastRead }
@@ -69,6 +72,9 @@
 		lists = append(lists, list)
 	}
 	l.lastRead, l.announced = last, answer.GetInt64("seq")
+	for i := range lists {
+		lists[i] = l.owners.apply(lists[i])
+	}
 	return lists, nil
 }
 
