Bound the number of recent request IDs that are remembered

Operators saw: memory grew without end while one client sent requests under ever new names.

Cause: each accepted request left its ID in a map for up to 30 s, whatever became of the request and however many there were.

Change: a generation ends once it has 4,096 IDs, or after 15 s as before, and an ID takes two hashes in place of its text.

TestRecentIDsAreBounded is new and passes.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -55,8 +55,9 @@
 
 	// Owned by Run.
 	open             map[string]*request // by request id
-	recent           *recentIDs
-	shutdownDeadline time.Time // time by which every request must be answered; zero until a shutdown begins
+	recent           *recentIDs          // requests that were accepted
+	executed         *recentIDs          // requests that have ended and may have run
+	shutdownDeadline time.Time           // time by which every request must be answered; zero until a shutdown begins
 	batch            []admission.Event
 }
 
@@ -66,7 +67,7 @@
 	return &Dispatcher{
 		controller: controller, classes: classes, counters: counters, log: log, start: now,
 		startUnix: time.Duration(now.UnixNano()), wake: make(chan struct{}, 1), open: map[string]*request{},
-		recent: newRecentIDs(),
+		recent: newRecentIDs(maxRecentIDs),
 	}
 }
 
--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -322,3 +323,16 @@
 	<-stepped
 	assert.Equal(t, 1, e.started, "the attempt is started; the engine client does not send the query of a settled request")
 }
+
+// Guards against memory that grows with every new request ID.
+func TestRecentIDsAreBounded(t *testing.T) {
+	const limit = 100
+	ids := newRecentIDs(limit)
+	for i := range 10 * limit {
+		id := strconv.Itoa(i)
+		require.True(t, ids.add(exchange.New(exchange.Request{ID: id}, time.Now())))
+		require.LessOrEqual(t, len(ids.current)+len(ids.previous), 2*limit)
+		require.True(t, ids.contains(strconv.Itoa(max(0, i-limit))), "the last IDs are remembered")
+	}
+	assert.False(t, ids.contains("0"))
+}
--- a/internal/dispatch/recent_ids.go
+++ b/internal/dispatch/recent_ids.go
@@ -7,27 +7,34 @@
 	"beechcart/internal/exchange"
 )
 
-// idRetention is the minimum time for which the id of a request is remembered. It is well over the 2 s after which
-// engines forget a query that is not polled.
+// idRetention is the time for which the ID of a request is remembered while no generation is full. It is well over the
+// 2 s after which engines forget a query that is not polled.
 const idRetention = 15 * time.Second
 
-// recentIDs remembers the ids of recent requests, each with a hash of its class and statement. Two generations bound
-// its size: once the current generation is older than idRetention, it replaces the previous one, which is discarded.
+// maxRecentIDs is the limit of one generation of recent IDs. An entry takes some 30 bytes.
+const maxRecentIDs = 4 << 10
+
+// recentIDs remembers the IDs of recent requests, each with a hash of its class and statement. Two generations bound
+// its size: once the current generation is older than idRetention or full, it replaces the previous one, which is
+// discarded.
 type recentIDs struct {
 	seed              maphash.Seed
-	current, previous map[string]uint64 // hash by request id
+	limit             int               // maximum number of IDs in a generation
+	current, previous map[uint64]uint64 // hash of the statement by hash of the request ID
 	currentSince      time.Time
 }
 
-func newRecentIDs() *recentIDs {
-	return &recentIDs{seed: maphash.MakeSeed(), current: map[string]uint64{}, currentSince: time.Now()}
+func newRecentIDs(limit int) *recentIDs {
+	return &recentIDs{
+		seed: maphash.MakeSeed(), limit: limit, current: map[uint64]uint64{}, currentSince: time.Now(),
+	}
 }
 
-// add records the id of a request. It returns false if the id was recently used with another class or statement. It
+// add records the ID of a request. It returns false if the ID was recently used with another class or statement. It
 // returns true for a repetition of the same request: clients resend a request whose connection was closed.
 func (ids *recentIDs) add(x *exchange.Exchange) bool {
-	if time.Since(ids.currentSince) > idRetention {
-		ids.previous, ids.current, ids.currentSince = ids.current, map[string]uint64{}, time.Now()
+	if time.Since(ids.currentSince) > idRetention || len(ids.current) >= ids.limit {
+		ids.previous, ids.current, ids.currentSince = ids.current, map[uint64]uint64{}, time.Now()
 	}
 	var h maphash.Hash
 	h.SetSeed(ids.seed)
@@ -35,12 +42,26 @@
 	_ = h.WriteByte(0)
 	_, _ = h.Write(x.Statement)
 	sum := h.Sum64()
-	if known, ok := ids.current[x.ID]; ok && known != sum {
+	if known, ok := ids.lookup(x.ID); ok && known != sum {
 		return false
 	}
-	if known, ok := ids.previous[x.ID]; ok && known != sum {
-		return false
-	}
-	ids.current[x.ID] = sum
+	ids.current[ids.key(x.ID)] = sum
 	return true
 }
+
+// contains reports whether the ID was recently recorded.
+func (ids *recentIDs) contains(id string) bool {
+	_, ok := ids.lookup(id)
+	return ok
+}
+
+func (ids *recentIDs) lookup(id string) (sum uint64, ok bool) {
+	key := ids.key(id)
+	if sum, ok = ids.current[key]; ok {
+		return sum, true
+	}
+	sum, ok = ids.previous[key]
+	return sum, ok
+}
+
+func (ids *recentIDs) key(id string) uint64 { return maphash.String(ids.seed, id) }
