Do not run a request again when its ID comes again after it may have run

Callers saw: a request ran twice. Its client had left while it ran, and the same request came again under the same ID after the attempt had ended.

Cause: an ID was refused only while its request was open; afterwards the same statement under the same ID was accepted as one that its client had sent again because its connection was closed.

Change: the IDs of requests that have ended and may have run are remembered (15 s, or 16,384 requests, whichever is less, and as long again), and such a request is failed; repeated_id counts them. One that has never run is accepted as before.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -67,7 +67,7 @@
 	return &Dispatcher{
 		controller: controller, classes: classes, counters: counters, log: log, start: now,
 		startUnix: time.Duration(now.UnixNano()), wake: make(chan struct{}, 1), open: map[string]*request{},
-		recent: newRecentIDs(maxRecentIDs),
+		recent: newRecentIDs(maxRecentIDs), executed: newRecentIDs(maxExecutedIDs),
 	}
 }
 
--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -336,3 +336,32 @@
 	}
 	assert.False(t, ids.contains("0"))
 }
+
+// Guards against a request that runs again when its ID comes again after its client has left.
+func TestIDOfARequestThatMayHaveRunIsNotAcceptedAgain(t *testing.T) {
+	for status, wantFailed := range map[admission.Status]bool{
+		admission.OK: true, admission.Cancelled: true, admission.Reset: true, admission.TimedOut: true,
+		admission.Errored: true, admission.Overloaded: false, admission.NotSent: false, admission.ConnectFailed: false,
+	} {
+		d, _, c := newDispatcher(func(events []admission.Event) (actions []admission.Action) {
+			for _, ev := range events {
+				if request, ok := ev.(admission.Request); ok {
+					actions = append(actions, admission.Send{ID: request.ID})
+				}
+			}
+			return actions
+		})
+		x := newExchange(time.Hour)
+		d.step([]message{requestAccepted{x}})
+		d.ClientGone(x)
+		d.step([]message{&attemptDone{exchange: x, outcome: admission.Outcome{ID: "a", Status: status}}})
+		require.Empty(t, d.open)
+		again := newExchange(time.Hour)
+		d.step([]message{requestAccepted{again}})
+		assert.Equal(t, wantFailed, again.Settled(), "status %d", status)
+		if wantFailed {
+			assert.Equal(t, exchange.Failed, again.Answer().Kind)
+			assert.EqualValues(t, 1, c.Get("repeated_id"))
+		}
+	}
+}
--- a/internal/dispatch/recent_ids.go
+++ b/internal/dispatch/recent_ids.go
@@ -11,8 +11,11 @@
 // 2 s after which engines forget a query that is not polled.
 const idRetention = 15 * time.Second
 
-// maxRecentIDs is the limit of one generation of recent IDs. An entry takes some 30 bytes.
-const maxRecentIDs = 4 << 10
+// Limits of one generation of recent IDs. An entry takes some 30 bytes.
+const (
+	maxRecentIDs   = 4 << 10
+	maxExecutedIDs = 16 << 10 // 1,000 requests a second for idRetention
+)
 
 // recentIDs remembers the IDs of recent requests, each with a hash of its class and statement. Two generations bound
 // its size: once the current generation is older than idRetention or full, it replaces the previous one, which is
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -33,6 +33,11 @@
 		x.Settle(exchange.Answer{Kind: exchange.Failed, Reason: "a request with this id is open"})
 		return nil
 	}
+	if d.executed.contains(x.ID) {
+		d.counters.Add("repeated_id", 1)
+		x.Settle(exchange.Answer{Kind: exchange.Failed, Reason: "a request with this id may have run"})
+		return nil
+	}
 	// An engine may still hold the result of the earlier statement under this id, and would return it.
 	if !d.recent.add(x) {
 		d.counters.Add("reused_id", 1)
@@ -132,12 +137,17 @@
 	return objective > 0 && time.Since(x.Arrived) > objective
 }
 
-// removeIfDone removes a request that is settled and has no attempt in flight.
+// removeIfDone removes a request that is settled and has no attempt in flight. If the request may have run, it must not
+// run again when its ID comes again.
 func (d *Dispatcher) removeIfDone(r *request) {
-	if r.exchange.Settled() && r.inFlight == 0 {
-		r.deadline.Stop()
-		delete(d.open, r.exchange.ID)
+	if !r.exchange.Settled() || r.inFlight > 0 {
+		return
+	}
+	if !r.mayHaveRunSince.IsZero() {
+		d.executed.add(r.exchange)
 	}
+	r.deadline.Stop()
+	delete(d.open, r.exchange.ID)
 }
 
 func statusName(s admission.Status) string {
