Let an engine write a response slowly as long as bytes keep coming

Callers saw: a request whose engine wrote its long answer slowly failed after 3 to 4 s, whatever time it had: the answer was cut off 150 ms after its first byte, asked for again and cut off again.

Cause: the rest of a response had to arrive within 150 ms in all.

Change: a response that has begun may pause for 150 ms, doubled up to 600 ms by each pause that was too long, until the deadline of the attempt. After a cancellation, and for health checks and the change log, the rest must arrive within 150 ms as before.

--- a/internal/engine/attempt.go
+++ b/internal/engine/attempt.go
@@ -52,9 +52,10 @@
 	acknowledged bool
 	// unconfirmed is a connection that has carried another query and is not trusted. A response on this connection may
 	// belong to the other query, and counts only once confirm has succeeded.
-	unconfirmed *connection
-	suspect     *suspectPage // the latest page that may be truncated; nil: none
-	rereads     int          // how often the result was read again because an earlier page was truncated
+	unconfirmed   *connection
+	responsePause time.Duration // how long a response that has begun may pause; grows with each timeout
+	suspect       *suspectPage  // the latest page that may be truncated; nil: none
+	rereads       int           // how often the result was read again because an earlier page was truncated
 }
 
 func (a *attempt) isCancelled() bool {
--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -47,7 +47,10 @@
 // readResponse reads the response to the call that was sent, and validates the response with check.
 func (a *attempt) readResponse(check func(response) error) (response, error) {
 	a.lastCallAt = time.Now()
-	r, err := a.conn.receive(a.lastCallAt.Add(callTimeout))
+	r, err := a.conn.receiveTimed(a.responseTimer())
+	if isTimeout(err) && a.conn.raw.Reader().Len() > 0 {
+		a.responsePause = min(2*a.responsePause, maxResponsePause)
+	}
 	if err != nil && a.conn.holdsRow() {
 		err = errPreviousTruncated
 	}
@@ -76,6 +79,18 @@
 	return r, nil
 }
 
+// responseTimer returns the time limits of the response to the latest call. An engine may write a response slowly until
+// the deadline of the attempt. After the deadline, calls only find out whether the query has ended.
+func (a *attempt) responseTimer() responseTimer {
+	timer := responseTimer{
+		deadline: a.lastCallAt.Add(callTimeout), pause: a.responsePause, cancelled: a.cancelled,
+	}
+	if a.lastCallAt.Before(a.deadline) {
+		timer.end = a.deadline
+	}
+	return timer
+}
+
 // redial opens a new connection to the engine. redial fails with errRetired once the engine's process has ended: a new
 // process at the same address does not have the query.
 func (a *attempt) redial() (*connection, error) {
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -121,7 +121,7 @@
 ) {
 	a := &attempt{
 		client: c, exchange: x, number: number, instance: c.instance(engine), engine: engine, terms: terms,
-		notAfter: notAfter, startedAt: time.Now(), cancelled: make(chan struct{}),
+		notAfter: notAfter, startedAt: time.Now(), cancelled: make(chan struct{}), responsePause: partialResponseTimeout,
 	}
 	a.deadline = a.startedAt.Add(timeout)
 	key := attemptKey{x.ID, number}
--- a/internal/engine/connection.go
+++ b/internal/engine/connection.go
@@ -13,9 +13,6 @@
 	"beechcart/internal/copycount"
 )
 
-// partialResponseTimeout is how long the rest of a response may take after its first bytes have arrived.
-const partialResponseTimeout = 150 * time.Millisecond
-
 // connection is an HTTP/1.1 connection that carries one call at a time. Only close may be called concurrently with
 // other methods.
 type connection struct {
@@ -104,12 +101,17 @@
 }
 
 // receive reads one response before the deadline. The slices of the response are valid until reusable or close is
-// called. Once a response has begun, the rest of the response must arrive within partialResponseTimeout: an engine may
+// called. Once a response has begun, the rest of the response must arrive within partialResponseTimeout: the peer may
 // stop in the middle of a response and keep the connection open.
 func (c *connection) receive(deadline time.Time) (response, error) {
+	return c.receiveTimed(responseTimer{deadline: deadline})
+}
+
+// receiveTimed is receive with the time limits of timer.
+func (c *connection) receiveTimed(timer responseTimer) (response, error) {
 	r := c.raw.Reader()
 	for want := 1; ; want = r.Len() + 1 {
-		left := time.Until(deadline)
+		left := time.Until(timer.deadline)
 		if left <= 0 {
 			return response{}, netpoll.ErrReadTimeout
 		}
@@ -131,8 +133,6 @@
 		if len(buf) == c.maxResponseBytes() {
 			return response{}, errTooLarge
 		}
-		if end := time.Now().Add(partialResponseTimeout); want == 1 && end.Before(deadline) {
-			deadline = end
-		}
+		timer.received(len(buf))
 	}
 }
