Give an engine time to read a large request

Callers saw: a request of 240 KB failed if its engine needed over 1 s to read it, whatever time the request had.

Cause: a write had 1 s, and the response to a POST had to begin 350 ms after the write, when much of the POST still lies in the kernels' buffers.

Change: a POST that does not fit into one write gets the time that its bytes take at 16 KB a second as well, up to the deadline of the attempt. A cancellation closes its connection at once. The body of such a POST is written from the request's own memory, without a copy.

--- a/internal/engine/attempt.go
+++ b/internal/engine/attempt.go
@@ -13,8 +13,12 @@
 	// minTimeLeft is the shortest time before the deadline at which a query is still sent.
 	minTimeLeft = time.Millisecond
 	// singleWriteBytes is the request size up to which every socket accepts a request in one write. If such a write fails
-	// without a timeout, no byte has been sent.
+	// without a timeout, no byte has been sent. Larger requests are written without a copy.
 	singleWriteBytes = 8 << 10
+	// maxPostHeaderBytes is the size that the headers of a POST do not exceed.
+	maxPostHeaderBytes = 1 << 10
+	// minRequestRate is the least rate at which an engine reads a large request, in bytes a second.
+	minRequestRate = 16 << 10
 	// slowConnectThreshold is the duration of a connect from which cancellationDelay applies. A process that was not
 	// scheduled meanwhile may have received a KILL QUERY that its session has not handled yet.
 	slowConnectThreshold = 50 * time.Millisecond
@@ -114,17 +118,21 @@
 // has not run. If the status is OK, a non-nil err means that the response was lost or malformed: the query may be
 // running.
 func (a *attempt) post() (r response, status admission.Status, err error) {
+	transfer := a.transferTime()
 	for posts := 1; ; posts++ {
 		if status := a.connect(); status != admission.OK {
 			return r, status, nil
 		}
+		if transfer > 0 {
+			defer a.abortOnCancel()()
+		}
 		a.postConn = a.conn
 		a.writePostHeaders()
 		a.lastCallAt = time.Now()
-		if err = a.conn.send(a.exchange.Statement); err == nil {
+		if err = a.sendStatement(transfer); err == nil {
 			break
 		}
-		if isTimeout(err) || len(a.conn.request) > singleWriteBytes {
+		if isTimeout(err) || transfer > 0 {
 			break // a part of the request may have been sent
 		}
 		// The connection was closed or reset before the write, so the kernel has sent nothing.
@@ -135,11 +143,44 @@
 		}
 	}
 	if err == nil {
-		r, err = a.readResponse(checkPollResponse)
+		r, err = a.readResponse(transfer, checkPollResponse)
 	}
 	return r, admission.OK, err
 }
 
+// transferTime returns how long an engine may take to read a POST that does not fit into one write; 0 if it fits. After
+// the write, the bytes may still lie in the buffers of both kernels.
+func (a *attempt) transferTime() time.Duration {
+	size := len(a.exchange.Statement) + maxPostHeaderBytes
+	if size <= singleWriteBytes {
+		return 0
+	}
+	return time.Duration(size) * time.Second / minRequestRate
+}
+
+// sendStatement sends the POST, for at most the time that a large one may take.
+func (a *attempt) sendStatement(transfer time.Duration) error {
+	if transfer > 0 {
+		left := max(time.Until(a.deadline), minTimeLeft)
+		_ = a.conn.raw.SetWriteTimeout(min(writeTimeout+transfer, left))
+	}
+	return a.conn.send(a.exchange.Statement)
+}
+
+// abortOnCancel closes the connection when the attempt is cancelled, until stop is called. Otherwise a cancellation
+// would wait until the engine has read a large POST.
+func (a *attempt) abortOnCancel() (stop func()) {
+	conn, stopped := a.conn, make(chan struct{})
+	go func() {
+		select {
+		case <-a.cancelled:
+			conn.abort()
+		case <-stopped:
+		}
+	}()
+	return func() { close(stopped) }
+}
+
 func (a *attempt) writePostHeaders() {
 	a.conn.writeRequestLine("POST", queriesPath, a.instance.address)
 	a.conn.writeHeader(headerRequestID, a.exchange.ID)
--- a/internal/engine/attempt_test.go
+++ b/internal/engine/attempt_test.go
@@ -286,3 +286,22 @@
 	assert.Equal(t, 1, client.checks)
 	assert.Zero(t, e.count("POST"))
 }
+
+// Guards against a cancellation that waits until an engine has read a large request.
+func TestCancellationEndsTheWaitForALargeRequest(t *testing.T) {
+	const prompt = 2 * time.Second // under the time in which the engine may read the request
+	c, sink, _, e := newTestClient(t, 100, func(call string, _ int) string {
+		if call == "DELETE" {
+			return responseDeleted
+		}
+		return staySilent
+	})
+	x := newExchange()
+	x.Statement = make([]byte, 200<<10)
+	c.Start(x, 0, 7, admission.Terms{Priority: 1}, 20*time.Second, time.Time{})
+	require.Eventually(t, func() bool { return e.count("POST") == 1 }, 10*time.Second, time.Millisecond)
+	began := time.Now()
+	c.Cancel(x.ID, 0)
+	assert.Equal(t, admission.Cancelled, (<-sink).Status)
+	assert.Less(t, time.Since(began), prompt)
+}
--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -41,13 +41,14 @@
 		a.client.options.Counters.Add("lost_call", 1)
 		return response{}, err
 	}
-	return a.readResponse(check)
+	return a.readResponse(0, check)
 }
 
-// readResponse reads the response to the call that was sent, and validates the response with check.
-func (a *attempt) readResponse(check func(response) error) (response, error) {
+// readResponse reads the response to the call that was sent, and validates the response with check. transfer is the
+// time that the engine may take to read the call.
+func (a *attempt) readResponse(transfer time.Duration, check func(response) error) (response, error) {
 	a.lastCallAt = time.Now()
-	r, err := a.conn.receiveTimed(a.responseTimer())
+	r, err := a.conn.receiveTimed(a.responseTimer(transfer))
 	if isTimeout(err) && a.conn.raw.Reader().Len() > 0 {
 		a.responsePause = min(2*a.responsePause, maxResponsePause)
 	}
@@ -81,13 +82,16 @@
 
 // responseTimer returns the time limits of the response to the latest call. An engine may write a response slowly until
 // the deadline of the attempt. After the deadline, calls only find out whether the query has ended.
-func (a *attempt) responseTimer() responseTimer {
+func (a *attempt) responseTimer(transfer time.Duration) responseTimer {
 	timer := responseTimer{
-		deadline: a.lastCallAt.Add(callTimeout), pause: a.responsePause, cancelled: a.cancelled,
+		deadline: a.lastCallAt.Add(callTimeout + transfer), pause: a.responsePause, cancelled: a.cancelled,
 	}
 	if a.lastCallAt.Before(a.deadline) {
 		timer.end = a.deadline
 	}
+	if transfer > 0 && timer.deadline.After(a.deadline) {
+		timer.deadline = a.deadline
+	}
 	return timer
 }
 
--- a/internal/engine/connection.go
+++ b/internal/engine/connection.go
@@ -82,17 +82,28 @@
 	c.request = append(append(append(append(c.request, name...), ": "...), value...), "\r\n"...)
 }
 
-// send sends the call with the given body. A nil body sends no Content-Length.
+// send sends the call with the given body. A nil body sends no Content-Length. The body must not change until a
+// response has arrived or the connection is closed: netpoll does not copy a large one.
 func (c *connection) send(body []byte) error {
 	if body != nil {
 		c.writeHeader(headerContentLength, strconv.Itoa(len(body)))
 	}
-	c.request = append(append(c.request, "\r\n"...), body...)
-	copycount.Add(copycount.Call, len(body))
-	if _, err := c.raw.Writer().WriteBinary(c.request); err != nil {
+	c.request = append(c.request, "\r\n"...)
+	if len(body)+maxPostHeaderBytes <= singleWriteBytes {
+		c.request = append(c.request, body...)
+		copycount.Add(copycount.Call, len(body))
+		body = nil
+	}
+	w := c.raw.Writer()
+	if _, err := w.WriteBinary(c.request); err != nil {
 		return err
 	}
-	return c.raw.Writer().Flush()
+	if len(body) > 0 {
+		if _, err := w.WriteBinary(body); err != nil {
+			return err
+		}
+	}
+	return w.Flush()
 }
 
 // maxResponseBytes returns the size in bytes that a response does not exceed, interim responses included.
