Bound the unknown fields of a request's comment

Operators saw: heads of very many short fields took a process over its memory.

Cause: each field that the program does not know was kept in a map by its name, to find one that comes twice: 3.7 MB for a comment of 240 KB. Parsing it also kept the processor busy: no ordinary request was answered.

Change: a comment may have 32 unknown fields, kept as slices of the comment; one more is an error. The test's crowd sent a repeated known field and was refused early; it sends unknown fields now, which is stricter.

--- a/cmd/gateway/crowd_test.go
+++ b/cmd/gateway/crowd_test.go
@@ -128,7 +128,7 @@
 func sendManyFields(c *crowd, conn net.Conn) {
 	var fields strings.Builder
 	for i := 0; fields.Len() < largeRequestBytes; i++ {
-		fmt.Fprintf(&fields, ",%x=", i)
+		fmt.Fprintf(&fields, ",x%x=", i)
 	}
 	for !c.stopped() {
 		s := strings.Replace(statement("lookup", 2500), " */", fields.String()+" */", 1)
--- a/internal/mysql/field.go
+++ b/internal/mysql/field.go
@@ -1,6 +1,8 @@
 package mysql
 
 import (
+	"bytes"
+	"errors"
 	"time"
 
 	"beechcart/internal/decimal"
@@ -32,30 +34,42 @@
 // idSize is the number of hexadecimal digits in the id of a request.
 const idSize = 16
 
+// maxUnknownFields is the maximum number of fields in a comment that this version does not know.
+const maxUnknownFields = 32
+
 // fieldSet is the set of field names found in a comment so far.
 type fieldSet struct {
-	known   uint8 // one bit for each of fieldNames
-	unknown map[string]bool
+	known   uint8    // one bit for each of fieldNames
+	unknown [][]byte // slices of the comment
 }
 
-// add adds a name. It returns false if the set already contains the name.
-func (s *fieldSet) add(name []byte) bool {
+var (
+	errRepeatedField = errors.New("comes twice")
+	errTooManyFields = errors.New("is one too many: the comment has too many unknown fields")
+)
+
+// add adds a name. It returns an error if the set already contains the name, or has too many names.
+func (s *fieldSet) add(name []byte) error {
 	for i, n := range fieldNames {
 		if string(name) == n {
 			bit := uint8(1) << i
-			added := s.known&bit == 0
+			if s.known&bit != 0 {
+				return errRepeatedField
+			}
 			s.known |= bit
-			return added
+			return nil
 		}
 	}
-	if s.unknown[string(name)] {
-		return false
+	for _, n := range s.unknown {
+		if bytes.Equal(n, name) {
+			return errRepeatedField
+		}
 	}
-	if s.unknown == nil {
-		s.unknown = map[string]bool{}
+	if len(s.unknown) == maxUnknownFields {
+		return errTooManyFields
 	}
-	s.unknown[string(name)] = true
-	return true
+	s.unknown = append(s.unknown, name)
+	return nil
 }
 
 // setField sets one field of a request. It returns false if the value is invalid. Values are checked here, before the
--- a/internal/mysql/statement.go
+++ b/internal/mysql/statement.go
@@ -74,8 +74,8 @@
 		if !ok {
 			return fmt.Errorf("field %.40q is not name=value", field)
 		}
-		if !seen.add(name) {
-			return fmt.Errorf("field %.40q comes twice", name)
+		if err := seen.add(name); err != nil {
+			return fmt.Errorf("field %.40q %w", name, err)
 		}
 		if !setField(r, name, value, names) {
 			return fmt.Errorf("field %s: %.40q can't be used", name, value)
--- a/internal/mysql/statement_test.go
+++ b/internal/mysql/statement_test.go
@@ -1,6 +1,7 @@
 package mysql
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -53,6 +54,20 @@
 	}
 }
 
+// Guards against a comment whose fields take far more memory than its bytes.
+func TestUnknownFieldsAreBounded(t *testing.T) {
+	comment := "/* c=lookup,i=9b1f03aa5c7e2d41,d=1"
+	for i := range maxUnknownFields {
+		comment += fmt.Sprintf(",x%d=", i)
+	}
+	_, err := parseQuery([]byte(comment+" */ SELECT 1"), testNames())
+	require.NoError(t, err)
+	_, err = parseQuery([]byte(comment+",y=1 */ SELECT 1"), testNames())
+	require.ErrorIs(t, err, errTooManyFields)
+	_, err = parseQuery([]byte(comment+",x0=1 */ SELECT 1"), testNames())
+	require.ErrorIs(t, err, errRepeatedField)
+}
+
 func TestParseKillQuery(t *testing.T) {
 	for q, want := range map[string]bool{
 		"KILL QUERY 17": true, " kill  query 17 ; ": true, "KILL 17": false, "KILL QUERY": false, "KILL QUERY x": false,
