Bound the input of all clients in sum, and read it without netpoll's buffer

Operators saw: with hundreds of clients that stopped half way through a large request, wrote slowly or read nothing, a process passed its memory limit.

Cause: netpoll reads all input of a connection into memory, and runs on the one processor of the process, so a limit for each session is found late, and there was no limit in sum.

Change: netpoll accepts connections; sessions read their sockets themselves, through one buffer that is in use only during a read. Packets beyond 4 KB reserve memory of a budget of an eighth of the process's memory. A packet for which there is none, or behind 256 KB that wait, is discarded as it arrives and rejected (1040, harmless) in its turn, so the session and its open request go on; after 4,000 of these or 4 MB the session gets a last error. A packet that has been incomplete for 0.25 s gives way to others. Input is always read on, so a close behind it is found; a request is not sent on before its session has caught up. Discarded input and high rates of commands are paced over all sessions, and a session yields after each command. The deadline of a command that waits counts from when it was read. Results are encoded and written in pieces of 16 KB.

A KILL QUERY that arrived while the process was not scheduled was read in time only by the order of events in netpoll's loop. AwaitInput now waits, after a stall, until the input of all sessions has been handled; it replaces the wait of 5 ms after a slow connect.

--- a/cmd/gateway/server.go
+++ b/cmd/gateway/server.go
@@ -22,6 +22,7 @@
 	"beechcart/internal/endpoints"
 	"beechcart/internal/engine"
 	"beechcart/internal/invariant"
+	"beechcart/internal/membudget"
 	"beechcart/internal/mysql"
 	"beechcart/internal/operatorconfig"
 	"beechcart/internal/platformconfig"
@@ -46,6 +47,9 @@
 	counterLogInterval = 30 * time.Second
 )
 
+// inputMemoryDivisor sets the memory for large requests of clients: 1/inputMemoryDivisor of the process's memory.
+const inputMemoryDivisor = 8
+
 // server holds the components of a front end, from the start to the shutdown of the process.
 type server struct {
 	config     configuration
@@ -143,11 +147,13 @@
 		Classes:        platform.Admission.Classes,
 		MayDelete:      platform.Admission.CancellationAllowed,
 		Reuse:          reuse,
+		AwaitInput:     func() { s.listener.AwaitInput() },
 	}, s.dispatcher)
 	s.listener, err = mysql.New(mysql.Options{
 		Names:       platform.Names,
 		MaxSessions: operators.Clients.SessionLimit(platform.Descriptors),
 		IdleTimeout: operators.Clients.IdleTimeout,
+		Input:       membudget.New(platform.MemoryMB << 20 / inputMemoryDivisor),
 		Counters:    counters,
 		Log:         log,
 	}, s.dispatcher)
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -53,6 +53,7 @@
 	d.counters.Add("taken", 1)
 	r := &request{exchange: x, terms: admission.Terms{ID: x.ID, Priority: 1}}
 	r.deadline = time.AfterFunc(timeout, func() { d.expire(x) })
+	x.Hold()
 	d.open[x.ID] = r
 	return admission.Request{
 		ID: x.ID, Class: x.Class, Tenant: x.Tenant, Timeout: timeout, Work: x.WorkEstimate, MemoryMB: x.MemoryMB,
@@ -148,6 +149,7 @@
 	}
 	r.deadline.Stop()
 	delete(d.open, r.exchange.ID)
+	r.exchange.Release()
 }
 
 func statusName(s admission.Status) string {
--- a/internal/engine/attempt.go
+++ b/internal/engine/attempt.go
@@ -19,11 +19,6 @@
 	maxPostHeaderBytes = 1 << 10
 	// minRequestRate is the least rate at which an engine reads a large request, in bytes a second.
 	minRequestRate = 16 << 10
-	// slowConnectThreshold is the duration of a connect from which cancellationDelay applies. A process that was not
-	// scheduled meanwhile may have received a KILL QUERY that its session has not handled yet.
-	slowConnectThreshold = 50 * time.Millisecond
-	// cancellationDelay is the time to handle such a KILL QUERY before the query is sent.
-	cancellationDelay = 5 * time.Millisecond
 )
 
 // attempt is one query on one engine, from the POST until there is proof that the query no longer runs. The methods of
@@ -196,7 +191,6 @@
 func (a *attempt) connect() admission.Status {
 	var err error
 	var needsConfirmation bool
-	began := time.Now()
 	a.conn, needsConfirmation, err = a.instance.acquire(a.client.nonIdempotent(a.exchange), ordinaryUse)
 	if errors.Is(err, errNoSocket) {
 		a.client.options.Counters.Add("no_socket", 1)
@@ -207,8 +201,8 @@
 	if a.unconfirmed = nil; needsConfirmation {
 		a.unconfirmed = a.conn
 	}
-	if time.Since(began) >= slowConnectThreshold {
-		time.Sleep(cancellationDelay)
+	if a.client.options.AwaitInput != nil {
+		a.client.options.AwaitInput()
 	}
 	// While the connection was opened, the engine may have begun to drain, the client may have disconnected, or the
 	// deadline or notAfter (the end of the deduplication window) may have passed. Where queries may not be deleted, the
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -35,6 +35,7 @@
 	MayDelete      bool          // abandoned queries may be deleted; if false, they are left to expire without polls
 	Reuse          *reuse.Policy // nil: connections are not reused
 	Counters       *invariant.Counters
+	AwaitInput     func() // called before a query is sent: handles the input of clients; nil: nothing
 }
 
 // socketReserveDivisor sets the socket reserve: of N sockets, the POSTs of attempts leave N/socketReserveDivisor
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -74,11 +74,29 @@
 	settled atomic.Bool
 	answer  Answer        // written before done is closed, read afterwards
 	done    chan struct{} // closed once answer is set
+
+	holders   atomic.Int32 // who still uses the exchange
+	onRelease func()       // called when the last holder has released the exchange; nil: nothing
 }
 
-// New returns an exchange for a request that arrived at the given time.
+// New returns an exchange for a request that arrived at the given time. The caller holds the exchange.
 func New(request Request, arrived time.Time) *Exchange {
-	return &Exchange{Request: request, Arrived: arrived, done: make(chan struct{})}
+	x := &Exchange{Request: request, Arrived: arrived, done: make(chan struct{})}
+	x.holders.Store(1)
+	return x
+}
+
+// OnRelease sets the function that frees what the exchange occupies. It must be called before the exchange is shared.
+func (x *Exchange) OnRelease(free func()) { x.onRelease = free }
+
+// Hold adds a holder. The memory of the request stays reserved until every holder has called Release.
+func (x *Exchange) Hold() { x.holders.Add(1) }
+
+// Release removes a holder.
+func (x *Exchange) Release() {
+	if x.holders.Add(-1) == 0 && x.onRelease != nil {
+		x.onRelease()
+	}
 }
 
 // Settle sets the final answer. It returns false, and changes nothing, if the exchange is already settled.
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -34,3 +34,14 @@
 		require.Error(t, CheckRows([]byte(in)), in)
 	}
 }
+
+func TestLastHolderReleasesTheExchange(t *testing.T) {
+	x := New(Request{}, time.Now())
+	released := 0
+	x.OnRelease(func() { released++ })
+	x.Hold()
+	x.Release()
+	assert.Zero(t, released)
+	x.Release()
+	assert.Equal(t, 1, released)
+}
--- a/internal/mysql/answer.go
+++ b/internal/mysql/answer.go
@@ -2,27 +2,17 @@
 
 import (
 	"fmt"
-	"syscall"
+	"sync"
 	"time"
 
-	"github.com/cloudwego/netpoll"
-
 	"beechcart/internal/copycount"
 	"beechcart/internal/exchange"
 )
 
-// copiedWriteBytes is the size in bytes below which netpoll's writer copies a buffer. netpoll links larger buffers
-// without a copy.
-const copiedWriteBytes = 4 << 10
-
+// write writes b whole, for at most writeTimeout.
 func (s *session) write(b []byte) error {
-	if len(b) < copiedWriteBytes {
-		copycount.Add(copycount.Output, len(b))
-	}
-	if _, err := s.conn.Writer().WriteBinary(b); err != nil {
-		return err
-	}
-	return s.conn.Writer().Flush()
+	copycount.Add(copycount.Output, len(b))
+	return s.conn.write(b, time.Now().Add(writeTimeout))
 }
 
 // ok writes an OK packet. The caller must end the session if ok returns false.
@@ -34,32 +24,16 @@
 }
 
 // failAndDrain writes a final error and returns false, so that the caller ends the session. A connection that is closed
-// with unread input is reset, and the client may then not receive the error. failAndDrain therefore reads and discards
-// input until the client closes the connection, for at most drainTimeout and maxDrainBytes.
+// with unread input is reset, and the client may then not receive the error. The input is therefore read and discarded
+// until the client closes the connection, for at most drainTimeout and maxDrainBytes.
 func (s *session) failAndDrain(code errorCode, message string) bool {
 	if !s.fail(code, message) {
 		return false
 	}
+	s.server.mu.Lock()
+	s.draining = true
+	s.server.mu.Unlock()
 	s.enter(closing)
-	// The descriptor is valid: it is not reused for another connection while this callback runs.
-	if c, ok := s.conn.(netpoll.Conn); ok {
-		_ = syscall.Shutdown(c.Fd(), syscall.SHUT_WR)
-	}
-	r, end := s.conn.Reader(), time.Now().Add(drainTimeout)
-	for drained := 0; drained < maxDrainBytes; {
-		left := time.Until(end)
-		if left <= 0 || s.conn.SetReadTimeout(left) != nil {
-			break
-		}
-		if _, err := r.Peek(1); err != nil {
-			break
-		}
-		n := r.Len()
-		if r.Skip(n) != nil || r.Release() != nil {
-			break
-		}
-		drained += n
-	}
 	return false
 }
 
@@ -86,15 +60,34 @@
 	}
 }
 
-// writeResult encodes rows directly into the connection's output buffer, of which the result takes size bytes, and
-// flushes the buffer.
+// resultChunkBytes is the size of the pieces in which a result is encoded and written.
+const resultChunkBytes = 16 << 10
+
+// resultChunk is memory for a piece of a result.
+type resultChunk struct{ b []byte }
+
+var resultChunks = sync.Pool{New: func() any { return &resultChunk{make([]byte, 0, resultChunkBytes)} }}
+
+// writeResult encodes and writes rows, of which the result takes size bytes. A slow client keeps the rows, and a piece
+// of the result, in memory until it has read them.
 func (s *session) writeResult(rows []byte, size int) bool {
-	out, err := s.conn.Writer().Malloc(size)
-	if err != nil {
-		return false
-	}
 	copycount.Add(copycount.Encode, len(rows))
-	b := appendResult(out[:0], &s.sequence, rows)
-	s.server.options.Counters.Hold(len(b) == size, "result_size")
-	return s.conn.Writer().Flush() == nil
+	deadline := time.Now().Add(writeTimeout)
+	chunk := resultChunks.Get().(*resultChunk)
+	defer resultChunks.Put(chunk)
+	written := 0
+	b := appendResultHead(chunk.b, &s.sequence)
+	for len(rows) > 0 {
+		if b, rows = appendRows(b, &s.sequence, rows, resultChunkBytes); len(rows) == 0 {
+			break
+		}
+		if s.conn.write(b, deadline) != nil {
+			return false
+		}
+		written += len(b)
+		b = chunk.b
+	}
+	b = appendEOF(b, &s.sequence)
+	s.server.options.Counters.Hold(written+len(b) == size, "result_size")
+	return s.conn.write(b, deadline) == nil
 }
--- a/internal/mysql/command.go
+++ b/internal/mysql/command.go
@@ -1,45 +1,55 @@
 package mysql
 
 import (
+	"bytes"
 	"fmt"
-	"time"
 
+	"beechcart/internal/copycount"
 	"beechcart/internal/exchange"
 )
 
-// servePacket reads and answers one packet. The caller must end the session if servePacket returns false.
-func (s *session) servePacket() bool {
-	r := s.conn.Reader()
-	header, err := r.Next(headerSize)
-	if err != nil {
-		return false
-	}
-	size := packetSize(header)
-	s.sequence = header[3] + 1
-	// netpoll buffers all input of a client in memory, and a client may send valid packets faster than they are served.
-	if r.Len() > maxInputBytes {
-		s.server.options.Counters.Add("sessions_flooded", 1)
-		return false
-	}
-	if size > maxPacketBytes || size == 0 {
-		s.server.countMalformed(s, fmt.Sprintf("packet of %d bytes", size))
-		return s.failAndDrain(errPacketTooLarge, "packet size is out of bounds")
+// servePacket answers one packet. The caller must end the session if servePacket returns false.
+func (s *session) servePacket(c command) bool {
+	s.sequence = c.sequence
+	switch {
+	case c.fatal != nil:
+		s.server.countMalformed(s, c.fatal.reason)
+		return s.failAndDrain(c.fatal.code, c.fatal.message)
+	case c.refused > 0:
+		return s.refuse()
+	case s.loggedIn && c.payload[0] == comQuery:
+		s.noteCommand()
+		return s.query(c)
 	}
-	payload, err := r.Next(size)
-	if err != nil {
-		return false
+	defer s.server.free(c)
+	return s.command(c.payload)
+}
+
+// refuse answers a packet for which there was no memory, or that was sent behind too many others. It has not run.
+func (s *session) refuse() bool {
+	s.server.options.Counters.Add("input_refused", 1)
+	if !s.loggedIn {
+		return s.failAndDrain(errTooManyConnections, "Too many connections")
 	}
-	ok := s.serve(payload)
-	_ = r.Release()
-	return ok
+	s.noteCommand()
+	return s.answer(exchange.Answer{
+		Kind: exchange.Rejected, Reason: "too many or too large requests at once", RetryAfter: refusalRetryAfter,
+	})
 }
 
-// serve answers a login or a command. The caller must end the session if serve returns false.
-func (s *session) serve(payload []byte) bool {
+// noteCommand records that the session has sent a command.
+func (s *session) noteCommand() {
+	s.server.mu.Lock()
+	s.sentCommand = true
+	s.server.mu.Unlock()
+}
+
+// command answers a login or a command other than a query. The caller must end the session if command returns false.
+func (s *session) command(payload []byte) bool {
 	if !s.loggedIn {
 		return s.login(payload)
 	}
-	s.sentCommand = true
+	s.noteCommand()
 	switch payload[0] {
 	case comQuit:
 		return false
@@ -50,8 +60,6 @@
 			return s.fail(errUnknownDatabase, "Unknown database")
 		}
 		return s.ok()
-	case comQuery:
-		return s.query(payload[1:])
 	}
 	s.server.countMalformed(s, fmt.Sprintf("command %d", payload[0]))
 	return s.fail(errUnknownCommand, "Unknown command")
@@ -76,9 +84,10 @@
 
 // query serves one COM_QUERY and returns after writing the answer. Only the goroutine of this session is blocked
 // meanwhile. The caller must end the session if query returns false.
-func (s *session) query(q []byte) bool {
-	arrived := time.Now()
+func (s *session) query(c command) bool {
+	q := c.payload[1:]
 	if id, ok := parseKillQuery(q); ok {
+		defer s.server.free(c)
 		if !s.server.killQuery(id) {
 			return s.fail(errUnknownThread, "Unknown thread id")
 		}
@@ -86,12 +95,38 @@
 	}
 	request, err := parseQuery(q, s.server.options.Names)
 	if err != nil {
+		defer s.server.free(c)
 		s.server.countMalformed(s, err.Error())
 		return s.fail(errMalformedQuery, err.Error())
 	}
-	x := exchange.New(request, arrived)
+	x := s.newExchange(request, c)
+	defer x.Release()
+	return s.serveRequest(x)
+}
+
+// newExchange returns the exchange of a command. The memory of a large command is freed with the exchange, that of a
+// small one now.
+func (s *session) newExchange(request exchange.Request, c command) *exchange.Exchange {
+	if c.small != nil {
+		request.Statement = bytes.Clone(request.Statement)
+		copycount.Add(copycount.Statement, len(request.Statement))
+		c.payload = nil
+		smallPayloads.Put(c.small)
+	}
+	x := exchange.New(request, c.arrived)
 	x.Client = s
+	if c.reserved > 0 {
+		x.OnRelease(func() { s.server.releaseInput(c.reserved) })
+	}
+	return x
+}
+
+// serveRequest hands a request to the handler and writes the answer.
+func (s *session) serveRequest(x *exchange.Exchange) bool {
 	s.enter(serving)
+	if !s.caughtUp() {
+		return s.refuse()
+	}
 	switch ok, killed := s.openRequest(x); {
 	case !ok:
 		s.server.options.Counters.Add("left_unread", 1)
--- a/internal/mysql/limits.go
+++ b/internal/mysql/limits.go
@@ -5,9 +5,27 @@
 // Limits of a session's input, in bytes.
 const (
 	maxPacketBytes    = 256 << 10
-	maxPipelinedBytes = 256 << 10                          // unread input while a request is open
-	maxInputBytes     = maxPacketBytes + maxPipelinedBytes // unread input in any other phase
-	maxDrainBytes     = 1 << 20                            // input discarded after a final error
+	maxPipelinedBytes = 256 << 10 // commands that wait to be served
+	sessionAllowance  = 4 << 10   // of one command, for which no memory needs to be reserved
+	maxIdleInbox      = 4         // commands for which an idle session keeps memory
+	commandOverhead   = 200       // memory that a command takes beside its payload
+	maxRefusedBytes   = 4 << 20   // discarded bytes of commands that are refused while others wait to be served
+	maxRefusals       = 4000      // commands, in the same way
+	maxDrainBytes     = 1 << 20   // input discarded after its end
+)
+
+// Rates of all sessions together.
+const (
+	maxDiscardRate      = 128 << 20 // refused input, in bytes a second
+	maxDrainRate        = 8 << 20   // input after its end, in bytes a second
+	maxRefusalRate      = 500000    // discarded packets a second
+	maxPacedCommandRate = 10000     // commands a second of the sessions that have used up their allowance
+)
+
+// A session's allowance of commands.
+const (
+	commandBurst = 200
+	commandRate  = 500 // commands a second
 )
 
 // Time limits of a session. A client that sends no first command, only a part of a packet, or invalid input is answered
@@ -19,6 +37,8 @@
 	defaultIdleTimeout  = 5 * time.Second         // clients close idle connections after 4 s
 	unreadGrace         = 250 * time.Millisecond  // added to a time limit while the session has unread input
 	writeTimeout        = 5 * time.Second
+	catchUpTimeout      = 50 * time.Millisecond  // to read the input behind a request
+	refusalRetryAfter   = 200 * time.Millisecond // advice to a client whose input is refused
 	drainTimeout        = 500 * time.Millisecond // for the client to close the connection after a final error
 )
 
@@ -27,26 +47,31 @@
 	malformedLogInterval = 5 * time.Second
 )
 
-// admit reports whether a new session fits into the limit of sessions, and returns the evicted sessions, which the
-// caller must close to make room. evictionCandidate chooses them, so that clients that send nothing cannot use up all
-// sessions. A rejected session stays registered until its client has read the error or the next new session evicts it,
-// so there is at most one such session.
-func (s *Server) admit(ses *session) (evicted []*session, ok bool) {
+// admit reports whether a new session fits into the limit of sessions, and returns the removed sessions, whose
+// connections the caller must close to make room. These are the sessions whose clients have disconnected, and then
+// those that evictionCandidate chooses, so that clients that send nothing cannot use up all sessions. A rejected
+// session stays registered until its client has read the error or the next new session evicts it, so there is at most
+// one such session.
+func (s *Server) admit(ses *session) (removed []*session, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if ses.registered && len(s.sessions.byID) > s.options.MaxSessions {
+		removed = s.sessions.removeDisconnected()
+	}
 	for ses.registered && len(s.sessions.byID) > s.options.MaxSessions {
 		candidate := s.sessions.evictionCandidate(ses)
 		if candidate == ses {
-			return evicted, false
+			return removed, false
 		}
+		s.options.Counters.Add("sessions_evicted", 1)
 		s.sessions.remove(candidate)
-		evicted = append(evicted, candidate)
+		removed = append(removed, candidate)
 	}
-	return evicted, true
+	return removed, true
 }
 
-// closeExpired periodically closes the sessions that have exceeded the timeout of their phase or the limit of unread
-// input. It returns when stop is closed.
+// closeExpired periodically closes the sessions that have exceeded the timeout of their phase. It returns when stop is
+// closed.
 func (s *Server) closeExpired(stop <-chan struct{}) {
 	tick := time.NewTicker(expiryInterval)
 	defer tick.Stop()
@@ -57,17 +82,62 @@
 			return
 		case <-tick.C:
 		}
+		s.stall.tick()
 		expired = expired[:0]
 		s.mu.Lock()
-		s.sessions.removeExpired(time.Now(), s.options.IdleTimeout, func(ses *session, counter string) {
-			s.options.Counters.Add(counter, 1)
+		s.sessions.removeTimedOut(time.Now(), s.options.IdleTimeout, func(ses *session) {
+			s.options.Counters.Add("sessions_swept", 1)
 			expired = append(expired, ses)
 		})
 		s.mu.Unlock()
 		for _, ses := range expired {
-			_ = ses.conn.Close()
-			ses.abandonRequest() // Close frees the descriptor only once the open request is settled
+			ses.conn.close()
 		}
 		clear(expired)
 	}
 }
+
+// Limits of the search for memory.
+const (
+	// shedAfter is how long a packet may be incomplete before it is discarded in favour of another one.
+	shedAfter = 250 * time.Millisecond
+	// makeRoomInterval is the shortest time between two searches.
+	makeRoomInterval = 10 * time.Millisecond
+)
+
+// makeRoom discards the packets that have been incomplete for shedAfter and have reserved memory. It reports whether it
+// freed any. A client that stops half way through a large request, or sends one slowly, thus cannot keep the memory
+// that others need. Its request is refused.
+func (s *Server) makeRoom() bool {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now.Sub(s.madeRoomAt) < makeRoomInterval {
+		return false
+	}
+	s.madeRoomAt = now
+	freed := false
+	for _, ses := range s.sessions.byID {
+		if refusal, ok := ses.input.shed(now.Add(-shedAfter)); ok {
+			s.options.Counters.Add("input_shed", 1)
+			ses.queue(refusal)
+			freed = true
+		}
+	}
+	return freed
+}
+
+// free releases the memory of a command.
+func (s *Server) free(c command) {
+	s.releaseInput(c.reserved)
+	if c.small != nil {
+		smallPayloads.Put(c.small)
+	}
+}
+
+// releaseInput releases memory of the input budget.
+func (s *Server) releaseInput(n int) {
+	if n > 0 {
+		s.options.Input.Release(n)
+	}
+}
--- a/internal/mysql/packet.go
+++ b/internal/mysql/packet.go
@@ -30,6 +30,9 @@
 	b[at], b[at+1], b[at+2] = byte(n), byte(n>>8), byte(n>>16)
 }
 
+// maxLengthBytes is the maximum size of a length-encoded integer.
+const maxLengthBytes = 9
+
 // appendLength appends a length-encoded integer.
 func appendLength(b []byte, n int) []byte {
 	switch {
--- a/internal/mysql/result.go
+++ b/internal/mysql/result.go
@@ -79,18 +79,25 @@
 	return size, true
 }
 
-// appendResult appends an encoded result. resultSize must have accepted the rows. The encoding copies the rows, the
-// only copy on the client's side: the protocol puts a length before each cell, so the rows cannot be written in the
-// form in which the engine sent them.
-func appendResult(b []byte, sequence *byte, rows []byte) []byte {
-	b = append(b, resultHead...)
+// appendResultHead appends the packets before the rows of a result.
+func appendResultHead(b []byte, sequence *byte) []byte {
 	*sequence = rowSequence
+	return append(b, resultHead...)
+}
+
+// appendRows appends encoded rows, at least one, as long as b has at most limit bytes. It returns the rows that are
+// left. The encoding copies the rows, the only copy on the client's side: the protocol puts a length before each cell,
+// so the rows cannot be written in the form in which the engine sent them.
+func appendRows(b []byte, sequence *byte, rows []byte, limit int) (encoded, rest []byte) {
 	for len(rows) > 0 {
 		end := bytes.IndexByte(rows, '\n')
+		if grown := len(b) + headerSize + end + columnCount*maxLengthBytes; grown > limit && len(b) > 0 {
+			break
+		}
 		b = appendRow(b, sequence, rows[:end])
 		rows = rows[end+1:]
 	}
-	return appendEOF(b, sequence)
+	return b, rows
 }
 
 func appendRow(b []byte, sequence *byte, row []byte) []byte {
--- a/internal/mysql/server.go
+++ b/internal/mysql/server.go
@@ -4,7 +4,6 @@
 package mysql
 
 import (
-	"context"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
@@ -15,6 +14,7 @@
 
 	"beechcart/internal/exchange"
 	"beechcart/internal/invariant"
+	"beechcart/internal/membudget"
 	"beechcart/internal/platformconfig"
 )
 
@@ -29,8 +29,9 @@
 // Options are the settings of a server.
 type Options struct {
 	Names       platformconfig.Names
-	MaxSessions int           // limit of concurrent sessions
-	IdleTimeout time.Duration // between two commands of a session; 0 means defaultIdleTimeout
+	MaxSessions int               // limit of concurrent sessions
+	IdleTimeout time.Duration     // between two commands of a session; 0 means defaultIdleTimeout
+	Input       *membudget.Budget // memory for the large requests of all sessions; nil: unlimited
 	Counters    *invariant.Counters
 	Log         *slog.Logger
 }
@@ -45,10 +46,13 @@
 	sessions          sessionList      // guarded by mu
 	listener          netpoll.Listener // guarded by mu; nil before Serve
 	malformedLoggedAt time.Time        // guarded by mu
-}
+	madeRoomAt        time.Time        // guarded by mu; the time of the last call of makeRoom that looked for memory
 
-// sessionKey is the context key under which a connection's context holds its session.
-type sessionKey struct{}
+	stall    stallDetector
+	discards pacer // of refused input
+	drains   pacer // of input after its end
+	commands pacer // of clients that send commands at a high rate
+}
 
 // New returns a server that hands requests to handler. Serve starts it.
 func New(options Options, handler RequestHandler) (*Server, error) {
@@ -56,9 +60,8 @@
 		options.IdleTimeout = defaultIdleTimeout
 	}
 	s := &Server{options: options, handler: handler, sessions: sessionList{byID: map[uint32]*session{}}}
-	loop, err := netpoll.NewEventLoop(s.onRequest, netpoll.WithOnPrepare(s.onAccept), netpoll.WithOnConnect(s.onConnect),
-		netpoll.WithOnDisconnect(s.onDisconnect), netpoll.WithReadTimeout(packetTimeout),
-		netpoll.WithWriteTimeout(writeTimeout))
+	s.stall.start = time.Now()
+	loop, err := netpoll.NewEventLoop(nil)
 	if err != nil {
 		return nil, fmt.Errorf("mysql: %w", err)
 	}
@@ -76,16 +79,23 @@
 	s.listener = l
 	s.mu.Unlock()
 	s.options.Log.Info("listening", "address", l.Addr().String())
+	s.stall.tick()
 	stop := make(chan struct{})
 	defer close(stop)
 	go s.closeExpired(stop)
-	return s.eventLoop.Serve(l)
+	return s.eventLoop.Serve(&acceptor{Listener: l, accepted: s.accept})
 }
 
-// onAccept registers a connection as soon as it is accepted. netpoll calls onAccept on the goroutine that polls all
-// connections, so onAccept must not close a connection: the close would wait for that same goroutine.
-func (s *Server) onAccept(c netpoll.Connection) context.Context {
-	ses := &session{server: s, conn: c, fd: fileDescriptor(c), phaseSince: time.Now()}
+// accept registers a session for a connection as soon as it is accepted, and starts it.
+func (s *Server) accept(c netpoll.Conn) {
+	ses := &session{server: s, phaseSince: time.Now()}
+	ses.input.budget, ses.input.makeRoom, ses.input.deliver = s.options.Input, s.makeRoom, ses.deliver
+	ses.serve = ses.serveInbox
+	var err error
+	if ses.conn, err = newConnection(c, ses.receive); err != nil {
+		s.options.Log.Warn("session not opened", "peer", c.RemoteAddr().String(), "error", err)
+		return
+	}
 	s.mu.Lock()
 	// Any client that knows the id can cancel the session's query, so the id must not be predictable.
 	for ses.id == 0 || s.sessions.byID[ses.id] != nil {
@@ -93,53 +103,7 @@
 	}
 	s.sessions.add(ses)
 	s.mu.Unlock()
-	return context.WithValue(context.Background(), sessionKey{}, ses)
-}
-
-// onConnect sends the greeting to a new session, after evicting other sessions if the limit is exceeded. If no session
-// can be evicted, onConnect rejects the new session with an error.
-func (s *Server) onConnect(ctx context.Context, c netpoll.Connection) context.Context {
-	ses := ctx.Value(sessionKey{}).(*session)
-	evicted, ok := s.admit(ses)
-	for _, e := range evicted {
-		s.options.Counters.Add("sessions_evicted", 1)
-		_ = e.conn.Close()
-	}
-	if !ok {
-		s.options.Counters.Add("sessions_refused", 1)
-		ses.failAndDrain(errTooManyConnections, "Too many connections")
-		_ = ses.close()
-	} else if ses.write(appendGreeting(nil, ses.id)) != nil {
-		_ = c.Close()
-	}
-	return ctx
-}
-
-// onDisconnect removes the session and cancels its open request. netpoll calls onDisconnect as soon as the client has
-// closed the connection, also while a request is being served.
-func (s *Server) onDisconnect(ctx context.Context, _ netpoll.Connection) {
-	ses, _ := ctx.Value(sessionKey{}).(*session)
-	if ses == nil {
-		return
-	}
-	s.mu.Lock()
-	s.sessions.remove(ses)
-	s.mu.Unlock()
-	ses.abandonRequest()
-}
-
-// onRequest reads and serves one packet. netpoll makes one call at a time for each session.
-func (s *Server) onRequest(ctx context.Context, c netpoll.Connection) error {
-	ses, _ := ctx.Value(sessionKey{}).(*session)
-	if ses == nil {
-		return c.Close()
-	}
-	ses.enter(reading)
-	if !ses.servePacket() {
-		return ses.close()
-	}
-	ses.enter(idle)
-	return nil
+	go ses.run()
 }
 
 // killQuery cancels the open request of the session with the given id. It returns false if there is no such session.
@@ -154,7 +118,7 @@
 	s.mu.Lock()
 	// KILL QUERY may be processed before the query that it cancels has been read. The session remembers the
 	// cancellation, so that the query is not run for a client that no longer waits for its answer.
-	ses.killed = ses.openExchange == nil && (ses.readingPacket || ses.hasUnread())
+	ses.killed = ses.openExchange == nil && ses.registered && ses.hasInput()
 	s.mu.Unlock()
 	ses.abandonRequest()
 	return true
@@ -169,5 +133,5 @@
 		return
 	}
 	s.malformedLoggedAt = time.Now()
-	s.options.Log.Warn("malformed input", "peer", ses.conn.RemoteAddr().String(), "why", reason)
+	s.options.Log.Warn("malformed input", "peer", ses.conn.remote.String(), "why", reason)
 }
--- a/internal/mysql/session.go
+++ b/internal/mysql/session.go
@@ -1,11 +1,9 @@
 package mysql
 
 import (
+	"runtime"
 	"time"
 
-	"github.com/cloudwego/netpoll"
-	"golang.org/x/sys/unix"
-
 	"beechcart/internal/exchange"
 )
 
@@ -15,41 +13,169 @@
 const (
 	greeted phase = iota // no command received yet; the login may be complete
 	idle                 // between commands
-	reading              // a packet has been partly received
+	reading              // a packet has been partly received, or a command other than a request is being served
 	serving              // a request is open
 	closing              // the final error has been written
 	phaseCount
 )
 
-// session is the state of one client connection.
+// session is the state of one client connection. One goroutine reads the connection until the session ends. While the
+// inbox holds commands, another goroutine serves them and writes the answers.
 type session struct {
 	server *Server
 	id     uint32
-	conn   netpoll.Connection
-	fd     int32 // descriptor of conn; -1 if unknown
+	conn   *connection
+	input  input
+	serve  func() // serveInbox
+
+	// Owned by the goroutine that reads the connection.
+	discarded discarded // of the latest read
+	drained   int       // bytes discarded since the input has ended
+	flooded   bool      // counted as flooded
 
-	// Owned by the goroutine that serves the session's packets.
-	sequence    byte // number of the next packet to write
-	loggedIn    bool
-	sentCommand bool
+	// Owned by the goroutine that serves commands.
+	sequence byte // number of the next packet to write
+	loggedIn bool
+	commands allowance
 
 	// Guarded by the server's lock.
-	openExchange  *exchange.Exchange // the request being served
-	readingPacket bool
-	killed        bool // KILL QUERY was processed before the query to cancel was read
-	foundIdle     bool // the last check of Shutdown found the session idle; no packet has been read since
-	phase         phase
-	phaseSince    time.Time // start of the phase; while greeted, the time of the connect
-	registered    bool      // requests are accepted; set to false before the connection is closed
-	prev, next    *session  // neighbours in the queue of the phase
+	inbox        []command // commands; the first ones have been served
+	served       int       // number of commands of inbox that have been served or are being served
+	queuedBytes  int       // size of the commands in inbox
+	active       bool      // a goroutine serves commands
+	partial      bool      // a packet has been partly received
+	ended        bool      // no further command is accepted
+	draining     bool      // the final error has been written, and input is discarded
+	sentCommand  bool
+	openExchange *exchange.Exchange // the request being served
+	killed       bool               // KILL QUERY was processed before the query to cancel was read
+	foundIdle    bool               // the last check of Shutdown found the session idle, and it was not used since
+	phase        phase
+	phaseSince   time.Time // start of the phase; while greeted, the time of the connect
+	registered   bool      // requests are accepted; set to false before the connection is closed
+	prev, next   *session  // neighbours in the queue of the phase
+}
+
+// run greets the client and reads its input until the session ends.
+func (s *session) run() {
+	defer s.disconnected()
+	if !s.greet() {
+		return
+	}
+	for {
+		s.discarded = discarded{}
+		if s.conn.read() != nil || !s.slowDown() {
+			return
+		}
+	}
+}
+
+// greet sends the greeting, after evicting other sessions if the limit is exceeded. If no session can be evicted, greet
+// rejects the new session with an error.
+func (s *session) greet() bool {
+	removed, ok := s.server.admit(s)
+	for _, r := range removed {
+		r.conn.close()
+	}
+	if ok {
+		return s.write(appendGreeting(nil, s.id)) == nil
+	}
+	s.server.options.Counters.Add("sessions_refused", 1)
+	if s.failAndDrain(errTooManyConnections, "Too many connections"); !s.isDraining() {
+		return false
+	}
+	s.startDrain()
+	return true
+}
+
+// slowDown slows a client down whose input is discarded. It returns false if the session must end, because the client
+// goes on after its final error. A client that goes on after the end of its input does not wait for the answer to its
+// open request, which is cancelled.
+func (s *session) slowDown() bool {
+	d := s.discarded
+	if d.bytes == 0 && d.refusals == 0 {
+		return true
+	}
+	if d.flooded {
+		s.countFlood()
+	}
+	if !s.input.hasEnded() {
+		cost := time.Duration(d.bytes)*time.Second/maxDiscardRate + time.Duration(d.refusals)*time.Second/maxRefusalRate
+		s.server.discards.wait(cost)
+		return true
+	}
+	s.server.drains.wait(time.Duration(d.bytes) * time.Second / maxDrainRate)
+	if s.drained += d.bytes; s.drained <= maxDrainBytes {
+		return true
+	}
+	s.countFlood()
+	s.abandonRequest()
+	return !s.isDraining()
+}
+
+// countFlood counts the session as flooded, once.
+func (s *session) countFlood() {
+	if !s.flooded {
+		s.flooded = true
+		s.server.options.Counters.Add("sessions_flooded", 1)
+	}
+}
+
+// disconnected ends the session after its connection could not be read any further.
+func (s *session) disconnected() {
+	s.close()
+	s.abandonRequest()
+	s.dropInbox()
 }
 
 // close unregisters the session, so that no further request is accepted, and closes its connection.
-func (s *session) close() error {
+func (s *session) close() {
 	s.server.mu.Lock()
 	s.server.sessions.remove(s)
 	s.server.mu.Unlock()
-	return s.conn.Close()
+	s.conn.close()
+}
+
+// serveInbox serves commands until there is none left or the session ends.
+func (s *session) serveInbox() {
+	for {
+		c, ok := s.nextCommand()
+		if !ok {
+			return
+		}
+		if !s.servePacket(c) {
+			s.stopServing()
+			return
+		}
+		if !s.commands.take(commandBurst, commandRate) {
+			s.server.commands.wait(time.Second / maxPacedCommandRate)
+		}
+		runtime.Gosched() // a client with many commands must not use up a whole time slice of the scheduler
+	}
+}
+
+// stopServing closes the session, or discards its input for a while after a final error.
+func (s *session) stopServing() {
+	if s.isDraining() {
+		s.startDrain()
+	} else {
+		s.close()
+	}
+	s.dropInbox()
+}
+
+func (s *session) isDraining() bool {
+	s.server.mu.Lock()
+	defer s.server.mu.Unlock()
+	return s.draining
+}
+
+// startDrain lets the goroutine that reads the connection end the session once the client has closed its side, or after
+// drainTimeout. All input is discarded.
+func (s *session) startDrain() {
+	s.input.close()
+	s.conn.closeWrite()
+	s.conn.endAfter(drainTimeout)
 }
 
 // abandonRequest reports to the handler that the client no longer waits for the open request, if there is one.
@@ -62,18 +188,11 @@
 	}
 }
 
-// enter moves the session to a phase. A session stays in the phase greeted until its first command has been
-// received, whatever else it sends.
+// enter moves the session to a phase.
 func (s *session) enter(p phase) {
 	s.server.mu.Lock()
 	defer s.server.mu.Unlock()
 	s.foundIdle = false
-	if s.readingPacket = p == reading; p == idle {
-		s.killed = false // openRequest clears killed for each query; after any other packet there is no query to cancel
-	}
-	if s.phase == greeted && (p == reading || (p == idle && !s.sentCommand)) {
-		return
-	}
 	s.server.sessions.move(s, p, time.Now())
 }
 
@@ -98,13 +217,22 @@
 	s.server.mu.Unlock()
 }
 
-// hasUnread reports whether the kernel's receive buffer or netpoll's buffer holds unread input. The kernel is asked
-// first, because netpoll moves input from the kernel's buffer to its own.
-func (s *session) hasUnread() bool {
-	if c, ok := s.conn.(netpoll.Conn); ok {
-		if n, err := unix.IoctlGetInt(c.Fd(), unix.TIOCINQ); err == nil && n > 0 {
+// hasInput reports whether there is input that has not been served: in the kernel's receive buffer, on its way from
+// there, or in the inbox. The caller holds the server's lock, under which commands get into the inbox.
+func (s *session) hasInput() bool {
+	return s.conn.hasUnread() || s.active || s.partial || len(s.inbox) > 0
+}
+
+// caughtUp reports whether all input has been read that the client had sent. Only then is it known whether the client
+// has closed its connection behind its requests. It waits a moment for the goroutine that reads the connection.
+func (s *session) caughtUp() bool {
+	for end := time.Now().Add(catchUpTimeout); !s.conn.drained.Load(); time.Sleep(time.Millisecond) {
+		if !s.conn.hasUnread() {
 			return true
 		}
+		if time.Now().After(end) {
+			return false
+		}
 	}
-	return s.conn.Reader().Len() > 0
+	return true
 }
--- a/internal/mysql/session_list.go
+++ b/internal/mysql/session_list.go
@@ -1,6 +1,10 @@
 package mysql
 
-import "time"
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
 
 // sessionList holds the registered sessions of a server, by id and by phase. The queue of a phase lists its sessions in
 // the order in which they entered the phase. All sessions of a phase have the same timeout, so this is also the order
@@ -14,10 +18,10 @@
 // sessionQueue is a doubly linked list of sessions, linked by their prev and next fields.
 type sessionQueue struct{ head, tail *session }
 
-// firstWithoutInput returns the first session that is not reading a packet and has no unread input, or nil.
+// firstWithoutInput returns the first session that has no input to serve, or nil.
 func (q *sessionQueue) firstWithoutInput() *session {
 	for s := q.head; s != nil; s = s.next {
-		if !s.readingPacket && !s.hasUnread() {
+		if !s.hasInput() {
 			return s
 		}
 	}
@@ -72,6 +76,27 @@
 	s.phase, s.phaseSince = p, now
 }
 
+// removeDisconnected removes and returns the sessions whose clients have disconnected, which their goroutines have not
+// found yet.
+func (l *sessionList) removeDisconnected() (removed []*session) {
+	sessions := make([]*session, 0, len(l.byID))
+	fds := make([]unix.PollFd, 0, len(l.byID))
+	for _, s := range l.byID {
+		sessions = append(sessions, s)
+		fds = append(fds, unix.PollFd{Fd: s.conn.fd, Events: unix.POLLRDHUP})
+	}
+	if n, err := unix.Poll(fds, 0); err != nil || n == 0 {
+		return nil
+	}
+	for i := range fds {
+		if hungUp(fds[i]) {
+			l.remove(sessions[i])
+			removed = append(removed, sessions[i])
+		}
+	}
+	return removed
+}
+
 // evictionCandidate returns the session to close when a new session exceeds the limit. The order of preference is:
 //  1. a session whose final error has been written;
 //  2. a session that has sent no command for noCommandThreshold since it connected;
@@ -99,18 +124,9 @@
 	return newSession
 }
 
-// expiredFunc receives a session that has exceeded a limit, and the name of the counter for that limit.
-type expiredFunc func(s *session, counter string)
-
-// removeExpired removes each session that has exceeded a time or input limit, and calls expired for it.
-func (l *sessionList) removeExpired(now time.Time, idleTimeout time.Duration, expired expiredFunc) {
-	l.removeTimedOut(now, idleTimeout, expired)
-	l.removeFlooded(expired)
-}
-
 // removeTimedOut removes the sessions that have been in a phase for longer than its timeout. Without the timeouts, the
 // session of a client that lost its network connection would hold a file descriptor forever.
-func (l *sessionList) removeTimedOut(now time.Time, idleTimeout time.Duration, expired expiredFunc) {
+func (l *sessionList) removeTimedOut(now time.Time, idleTimeout time.Duration, expired func(s *session)) {
 	for _, limit := range []struct {
 		phase   phase
 		timeout time.Duration
@@ -118,27 +134,8 @@
 		for s := l.byPhase[limit.phase].head; s != nil && now.Sub(s.phaseSince) > limit.timeout; {
 			next := s.next
 			// Input that arrived in time may still be unread if this process was not scheduled meanwhile.
-			hasInput := func() bool { return s.readingPacket || s.hasUnread() }
-			if limit.phase == reading || now.Sub(s.phaseSince) > limit.timeout+unreadGrace || !hasInput() {
-				expired(s, "sessions_swept")
-				l.remove(s)
-			}
-			s = next
-		}
-	}
-}
-
-// removeFlooded removes the sessions with too much unread input. netpoll buffers all input of a client in memory,
-// without a limit of its own.
-func (l *sessionList) removeFlooded(expired expiredFunc) {
-	for _, limit := range []struct {
-		phase phase
-		bytes int
-	}{{greeted, maxInputBytes}, {reading, maxInputBytes}, {serving, maxPipelinedBytes}} {
-		for s := l.byPhase[limit.phase].head; s != nil; {
-			next := s.next
-			if s.conn.Reader().Len() > limit.bytes {
-				expired(s, "sessions_flooded")
+			if limit.phase == reading || now.Sub(s.phaseSince) > limit.timeout+unreadGrace || !s.hasInput() {
+				expired(s)
 				l.remove(s)
 			}
 			s = next
--- a/internal/mysql/shutdown.go
+++ b/internal/mysql/shutdown.go
@@ -10,7 +10,7 @@
 
 // requiredIdleChecks is the number of consecutive checks that must find neither a pending connection nor a busy session
 // before the listener is closed. One check could miss a connection that has left the kernel's accept queue and is not
-// registered yet, or a request that netpoll has read and not yet added to its buffer.
+// registered yet.
 const requiredIdleChecks = 2
 
 // Shutdown closes each session as soon as it has no open request, and then the listener. When ctx ends, Shutdown closes
@@ -47,11 +47,16 @@
 // closeAll unregisters the remaining sessions, so that no further request is accepted, and closes them and the
 // listener.
 func (s *Server) closeAll(ctx context.Context) error {
+	var left []*session
 	s.mu.Lock()
 	for _, ses := range s.sessions.byID {
 		s.sessions.remove(ses)
+		left = append(left, ses)
 	}
 	s.mu.Unlock()
+	for _, ses := range left {
+		ses.conn.close()
+	}
 	return s.eventLoop.Shutdown(ctx)
 }
 
@@ -76,7 +81,7 @@
 	s.mu.Lock()
 	for _, ses := range s.sessions.byID {
 		switch {
-		case ses.phase == serving || ses.phase == closing || ses.readingPacket || ses.hasUnread():
+		case ses.phase == serving || ses.phase == closing || ses.hasInput():
 			ses.foundIdle = false
 			busy++
 		case ses.phase == greeted && time.Since(ses.phaseSince) < drainTimeout:
@@ -90,7 +95,7 @@
 	}
 	s.mu.Unlock()
 	for _, ses := range idleSessions {
-		_ = ses.conn.Close()
+		ses.conn.close()
 	}
 	return busy, newlyIdle
 }
--- /dev/null
+++ b/internal/mysql/stall.go
@@ -0,0 +1,63 @@
+package mysql
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// stallThreshold is the time between two ticks from which the process counts as not scheduled in between.
+	stallThreshold = 2 * expiryInterval
+	// inputTimeout bounds the wait for input to be handled after a stall.
+	inputTimeout = 10 * time.Millisecond
+	// inputCheckInterval is the time between two checks for such input.
+	inputCheckInterval = 200 * time.Microsecond
+)
+
+// stallDetector finds out that the process was not scheduled for a while, from a tick every expiryInterval.
+type stallDetector struct {
+	start          time.Time
+	lastTick       atomic.Int64 // nanoseconds since start
+	recoveredAfter atomic.Int64 // nanoseconds since start
+}
+
+func (d *stallDetector) tick() {
+	now := int64(time.Since(d.start))
+	if now-d.lastTick.Swap(now) > int64(stallThreshold) {
+		d.recoveredAfter.Store(now + int64(inputTimeout))
+	}
+}
+
+// stalled reports whether the process has just been stalled: the latest tick is late, or was.
+func (d *stallDetector) stalled() bool {
+	now := int64(time.Since(d.start))
+	return now-d.lastTick.Load() > int64(stallThreshold) || now < d.recoveredAfter.Load()
+}
+
+// AwaitInput must be called before a request is sent on. After this process was not scheduled for a while, its kernel
+// may hold a KILL QUERY, or the close of a connection, from before the stall. AwaitInput then waits until such input
+// has been handled, for at most inputTimeout.
+func (s *Server) AwaitInput() {
+	if !s.stall.stalled() {
+		return
+	}
+	for end := time.Now().Add(inputTimeout); s.inputPending() && time.Now().Before(end); {
+		time.Sleep(inputCheckInterval)
+	}
+}
+
+// inputPending reports whether there is input of clients that has not been handled, or a connection that has not been
+// accepted. Commands that wait behind an open request do not count.
+func (s *Server) inputPending() bool {
+	if s.acceptPending() {
+		return true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, ses := range s.sessions.byID {
+		if ses.conn.hasUnread() || (ses.active && ses.openExchange == nil) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/mysql/statement.go
+++ b/internal/mysql/statement.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"strconv"
 
-	"beechcart/internal/copycount"
 	"beechcart/internal/exchange"
 	"beechcart/internal/platformconfig"
 )
@@ -23,8 +22,8 @@
 	errEmptyStatement = errors.New("there is no statement")
 )
 
-// parseQuery parses a query: a comment with the fields of the request, followed by a statement. The result does not
-// alias q, since a request outlives the input buffer.
+// parseQuery parses a query: a comment with the fields of the request, followed by a statement. The statement of the
+// result is a slice of q, so q must not change.
 func parseQuery(q []byte, names platformconfig.Names) (r exchange.Request, err error) {
 	fields, statement, err := splitComment(q)
 	if err != nil {
@@ -44,8 +43,7 @@
 	case len(statement) == 0:
 		return r, errEmptyStatement
 	}
-	r.Statement = bytes.Clone(statement)
-	copycount.Add(copycount.Statement, len(statement))
+	r.Statement = statement
 	r.TableGroup = tableGroup(statement)
 	return r, nil
 }
