Bound the results that clients have not read, in sum

Operators saw: with clients that read long answers slowly, a process passed its memory limit.

Cause: the rows of each result stay in memory until its client has read them, up to 1 MB for each session, with no limit in sum.

Change: rows reserve memory of a budget of an eighth of the process's memory, and keep it until they are written. A result that finds none waits for up to 1 s; meanwhile the session is closed whose client has read nothing for longest, if for 0.25 s at least. A result that finds none at all fails its attempt.

--- a/cmd/gateway/crowd_test.go
+++ b/cmd/gateway/crowd_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -343,3 +344,64 @@
 	}
 	return pages
 }
+
+// The process must stay within its memory, and serve ordinary clients, while many clients hardly read their results,
+// which are larger than the kernel's buffers.
+func TestUnreadResultsStayWithinMemory(t *testing.T) {
+	const ordinaryClients, crowdClients, longResultPages = 8, 100, 150
+	var long sync.Map // IDs of the requests for long results
+	pages := resultPages(longResultPages)
+	e := newEngine(t, nil)
+	e.handle = func(call string, w http.ResponseWriter, q *http.Request) bool {
+		id := q.Header.Get("X-Txn")
+		if call == "POST" && q.Header.Get("X-Lane") == "load" {
+			long.Store(id, true)
+		} else if call != "POST" {
+			id = strings.Split(q.URL.Path, "/")[3]
+		}
+		if _, ok := long.Load(id); !ok || call == "DELETE" {
+			return false
+		}
+		page, _ := strconv.Atoi(strings.TrimPrefix(call, "GET "))
+		if page == 0 {
+			w.Header().Set("X-Batches", strconv.Itoa(longResultPages))
+		} else {
+			w.Header().Set("X-Batch", strconv.Itoa(page))
+		}
+		_, _ = io.WriteString(w, pages[page])
+		return true
+	}
+	limits := platformLimits{memoryMB: 32, descriptors: 1024}
+	r := startPlatformWith(t, limits, strings.ReplaceAll(defaultPlatformSettings, `"holds_tables":[false,true]`,
+		`"holds_tables":[false,false]`), e)
+	c := &crowd{r: r, stop: make(chan struct{})}
+	s := serveOrdinary(t, r, ordinaryClients, c.stop, func() string { return statement("lookup", 2500) })
+	c.join(crowdClients, func(c *crowd, conn net.Conn) {
+		_ = conn.(*net.TCPConn).SetReadBuffer(4 << 10)
+		for range 10 {
+			if _, err := io.WriteString(conn, packet(0, statement("load", 20000))); err != nil {
+				return
+			}
+			c.begun.Add(1)
+		}
+		for buf := make([]byte, 1<<10); ; time.Sleep(100 * time.Millisecond) {
+			if _, err := conn.Read(buf); err != nil {
+				return
+			}
+		}
+	})
+	time.Sleep(2 * crowdPeriod)
+	close(c.stop)
+	c.running.Wait()
+	peak := float64(r.peakMemoryKB()) / 1024
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	stats, err := r.stats.Stats()
+	require.NoError(t, err)
+	t.Logf("peak %.1f of %d MB; crowd: %d; ordinary: %d requests, %d served, longest %v; counters %v",
+		peak, limits.memoryMB, c.begun.Load(), s.requests, s.answered, s.longest, stats.Counters)
+	assert.Less(t, peak, float64(limits.memoryMB))
+	assert.Empty(t, s.lost)
+	assert.Positive(t, s.requests)
+	assert.GreaterOrEqual(t, float64(s.answered), 0.9*float64(s.requests))
+}
--- a/cmd/gateway/server.go
+++ b/cmd/gateway/server.go
@@ -47,8 +47,11 @@
 	counterLogInterval = 30 * time.Second
 )
 
-// inputMemoryDivisor sets the memory for large requests of clients: 1/inputMemoryDivisor of the process's memory.
-const inputMemoryDivisor = 8
+// Divisors that set the shares of the process's memory for large requests of clients, and for rows of results.
+const (
+	inputMemoryDivisor  = 8
+	resultMemoryDivisor = 8
+)
 
 // server holds the components of a front end, from the start to the shutdown of the process.
 type server struct {
@@ -147,6 +150,8 @@
 		Classes:        platform.Admission.Classes,
 		MayDelete:      platform.Admission.CancellationAllowed,
 		Reuse:          reuse,
+		Results:        membudget.New(platform.MemoryMB << 20 / resultMemoryDivisor),
+		FreeResults:    func() { s.listener.CloseSlowReader() },
 		AwaitInput:     func() { s.listener.AwaitInput() },
 	}, s.dispatcher)
 	s.listener, err = mysql.New(mysql.Options{
--- a/internal/engine/attempt.go
+++ b/internal/engine/attempt.go
@@ -53,6 +53,7 @@
 	// belong to the other query, and counts only once confirm has succeeded.
 	unconfirmed   *connection
 	responsePause time.Duration // how long a response that has begun may pause; grows with each timeout
+	reservedRows  int           // memory of the rows of the latest complete result
 	suspect       *suspectPage  // the latest page that may be truncated; nil: none
 	rereads       int           // how often the result was read again because an earlier page was truncated
 }
@@ -92,6 +93,7 @@
 		case r.status == statusOK:
 			firstPages, firstSize := r.pageCount, len(r.body)
 			var rows []byte
+			a.releaseRows()
 			if status, rows, err = a.readResult(r); err != nil {
 				continue
 			}
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -15,6 +15,7 @@
 	"beechcart/internal/endpoints"
 	"beechcart/internal/exchange"
 	"beechcart/internal/invariant"
+	"beechcart/internal/membudget"
 )
 
 // Sink receives the reports of a Client. A Client calls the methods of its Sink from any goroutine.
@@ -35,7 +36,9 @@
 	MayDelete      bool          // abandoned queries may be deleted; if false, they are left to expire without polls
 	Reuse          *reuse.Policy // nil: connections are not reused
 	Counters       *invariant.Counters
-	AwaitInput     func() // called before a query is sent: handles the input of clients; nil: nothing
+	Results        *membudget.Budget // memory for the rows of all results; nil: unlimited
+	FreeResults    func()            // called while there is no memory for rows; nil: nothing
+	AwaitInput     func()            // called before a query is sent: handles the input of clients; nil: nothing
 }
 
 // socketReserveDivisor sets the socket reserve: of N sockets, the POSTs of attempts leave N/socketReserveDivisor
@@ -131,6 +134,11 @@
 	c.mu.Unlock()
 	go func() {
 		status, rows := a.run()
+		if rows == nil {
+			a.releaseRows()
+		} else {
+			x.HoldResult(c.options.Results, a.reservedRows)
+		}
 		c.mu.Lock()
 		delete(c.inFlight, key)
 		c.mu.Unlock()
--- a/internal/engine/result.go
+++ b/internal/engine/result.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"beechcart/admission"
-	"beechcart/internal/copycount"
 )
 
 // Size limits of one result.
@@ -27,9 +26,10 @@
 	a.outcome.Report = parseLoadReport(r.loadReport)
 	pageCount := r.pageCount
 	// The rows outlive the connection's buffer. This copy is the only copy of the rows in this package.
-	rows := make([]byte, 0, min(len(r.body)*pageCount, maxResultBytes))
-	rows = append(rows, r.body...)
-	copycount.Add(copycount.Pages, len(r.body))
+	rows := rowBuffer{attempt: a}
+	if !rows.append(r.body, min(len(r.body)*pageCount, maxResultBytes)) {
+		return admission.Errored, nil, nil
+	}
 	if pageCount > 1 {
 		a.conn.limitReceiveBuffer(pagedReceiveBuffer)
 	}
@@ -37,15 +37,20 @@
 		var status admission.Status
 		var err error
 		if r, status, err = a.readPage(page); err != nil || status != admission.OK {
+			rows.discard()
 			return status, nil, err
 		}
-		copycount.Add(copycount.Pages, len(r.body))
-		if rows = append(rows, r.body...); len(rows) > maxResultBytes {
+		if len(rows.b)+len(r.body) > maxResultBytes {
 			a.client.options.Counters.Add("result_too_large", 1)
+			rows.discard()
+			return admission.Errored, nil, nil
+		}
+		if !rows.append(r.body, maxResultBytes) {
 			return admission.Errored, nil, nil
 		}
 	}
-	return admission.OK, rows, nil
+	a.reservedRows = cap(rows.b)
+	return admission.OK, rows.b, nil
 }
 
 // readPage reads one page. A lost or malformed response is requested again on a new connection. The error is
--- /dev/null
+++ b/internal/engine/row_buffer.go
@@ -0,0 +1,78 @@
+package engine
+
+import (
+	"time"
+
+	"beechcart/internal/copycount"
+)
+
+const (
+	// resultMemoryTimeout is how long a result waits for memory.
+	resultMemoryTimeout = time.Second
+	// resultMemoryInterval is the time between two tries.
+	resultMemoryInterval = 5 * time.Millisecond
+)
+
+// rowBuffer collects the rows of a result in memory that is reserved from the client's budget.
+type rowBuffer struct {
+	attempt *attempt
+	b       []byte
+}
+
+// append appends the rows of a page. If the buffer is too small, its capacity is doubled, or set to size if that is
+// less but enough. append returns false, and frees the buffer, if there is no memory.
+func (r *rowBuffer) append(page []byte, size int) bool {
+	if need := len(r.b) + len(page); need > cap(r.b) {
+		if len(r.b) > 0 {
+			size = min(size, 2*cap(r.b))
+		}
+		size = max(need, size)
+		if !r.attempt.reserveRows(size - cap(r.b)) {
+			r.discard()
+			return false
+		}
+		grown := make([]byte, len(r.b), size)
+		copy(grown, r.b)
+		r.b = grown
+	}
+	r.b = append(r.b, page...)
+	copycount.Add(copycount.Pages, len(page))
+	return true
+}
+
+// discard frees the buffer.
+func (r *rowBuffer) discard() {
+	r.attempt.client.options.Results.Release(cap(r.b))
+	r.b = nil
+}
+
+// reserveRows reserves memory for rows. If there is none, it waits until others have freed some, for at most
+// resultMemoryTimeout and until the deadline.
+func (a *attempt) reserveRows(n int) bool {
+	options := &a.client.options
+	if options.Results.TryReserve(n) {
+		return true
+	}
+	options.Counters.Add("result_waited", 1)
+	end := time.Now().Add(resultMemoryTimeout)
+	if a.deadline.Before(end) {
+		end = a.deadline
+	}
+	for time.Now().Before(end) && !a.isCancelled() {
+		if options.FreeResults != nil {
+			options.FreeResults()
+		}
+		time.Sleep(resultMemoryInterval)
+		if options.Results.TryReserve(n) {
+			return true
+		}
+	}
+	options.Counters.Add("result_refused", 1)
+	return false
+}
+
+// releaseRows frees the memory of rows that the attempt does not report.
+func (a *attempt) releaseRows() {
+	a.client.options.Results.Release(a.reservedRows)
+	a.reservedRows = 0
+}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"sync/atomic"
 	"time"
+
+	"beechcart/internal/membudget"
 )
 
 // Request is a client's request.
@@ -75,10 +77,19 @@
 	answer  Answer        // written before done is closed, read afterwards
 	done    chan struct{} // closed once answer is set
 
-	holders   atomic.Int32 // who still uses the exchange
-	onRelease func()       // called when the last holder has released the exchange; nil: nothing
+	holders atomic.Int32 // who still uses the exchange
+	request reservation
+	result  reservation
+}
+
+// reservation is the memory that a part of an exchange has reserved.
+type reservation struct {
+	budget *membudget.Budget
+	bytes  int
 }
 
+func (r reservation) release() { r.budget.Release(r.bytes) }
+
 // New returns an exchange for a request that arrived at the given time. The caller holds the exchange.
 func New(request Request, arrived time.Time) *Exchange {
 	x := &Exchange{Request: request, Arrived: arrived, done: make(chan struct{})}
@@ -86,16 +97,25 @@
 	return x
 }
 
-// OnRelease sets the function that frees what the exchange occupies. It must be called before the exchange is shared.
-func (x *Exchange) OnRelease(free func()) { x.onRelease = free }
+// HoldRequest gives the exchange the reserved memory of its request. It must be called before the exchange is shared.
+func (x *Exchange) HoldRequest(budget *membudget.Budget, bytes int) {
+	x.request = reservation{budget, bytes}
+}
+
+// HoldResult gives the exchange the reserved memory of the rows that an attempt reports. The caller must be the attempt
+// that ends.
+func (x *Exchange) HoldResult(budget *membudget.Budget, bytes int) {
+	x.result = reservation{budget, bytes}
+}
 
-// Hold adds a holder. The memory of the request stays reserved until every holder has called Release.
+// Hold adds a holder. The memory of request and result stays reserved until every holder has called Release.
 func (x *Exchange) Hold() { x.holders.Add(1) }
 
 // Release removes a holder.
 func (x *Exchange) Release() {
-	if x.holders.Add(-1) == 0 && x.onRelease != nil {
-		x.onRelease()
+	if x.holders.Add(-1) == 0 {
+		x.request.release()
+		x.result.release()
 	}
 }
 
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"beechcart/internal/membudget"
 )
 
 func TestFirstSettleDecidesAnswer(t *testing.T) {
@@ -35,13 +37,16 @@
 	}
 }
 
-func TestLastHolderReleasesTheExchange(t *testing.T) {
+func TestLastHolderReleasesTheMemory(t *testing.T) {
 	x := New(Request{}, time.Now())
-	released := 0
-	x.OnRelease(func() { released++ })
+	request, result := membudget.New(100), membudget.New(100)
+	require.True(t, request.TryReserve(10))
+	require.True(t, result.TryReserve(20))
+	x.HoldRequest(request, 10)
+	x.HoldResult(result, 20)
 	x.Hold()
 	x.Release()
-	assert.Zero(t, released)
+	assert.Equal(t, []int{10, 20}, []int{request.Used(), result.Used()})
 	x.Release()
-	assert.Equal(t, 1, released)
+	assert.Equal(t, []int{0, 0}, []int{request.Used(), result.Used()})
 }
--- a/internal/mysql/command.go
+++ b/internal/mysql/command.go
@@ -115,9 +115,7 @@
 	}
 	x := exchange.New(request, c.arrived)
 	x.Client = s
-	if c.reserved > 0 {
-		x.OnRelease(func() { s.server.releaseInput(c.reserved) })
-	}
+	x.HoldRequest(s.server.options.Input, c.reserved)
 	return x
 }
 
--- a/internal/mysql/connection.go
+++ b/internal/mysql/connection.go
@@ -34,6 +34,8 @@
 	writeOnce  func(fd uintptr) bool // writeAvailable
 	unwritten  []byte                // what the latest writeOnce has left
 	writeError error                 // of the latest writeOnce
+	// blockedSince is the time since which a write waits for the client to read; nil: no write waits.
+	blockedSince atomic.Pointer[time.Time]
 	// receiving is true while input moves from the kernel's receive buffer to consume.
 	receiving atomic.Bool
 	// drained reports that the latest read found no input left.
@@ -107,6 +109,9 @@
 	if c.writeError != nil || len(c.unwritten) == 0 {
 		return c.writeError
 	}
+	now := time.Now()
+	c.blockedSince.Store(&now)
+	defer c.blockedSince.Store(nil)
 	if err := c.file.SetWriteDeadline(deadline); err != nil {
 		return err
 	}
--- a/internal/mysql/limits.go
+++ b/internal/mysql/limits.go
@@ -101,6 +101,8 @@
 const (
 	// shedAfter is how long a packet may be incomplete before it is discarded in favour of another one.
 	shedAfter = 250 * time.Millisecond
+	// slowReaderThreshold is how long a write may wait for its client while other results need the memory.
+	slowReaderThreshold = 250 * time.Millisecond
 	// makeRoomInterval is the shortest time between two searches.
 	makeRoomInterval = 10 * time.Millisecond
 )
@@ -127,6 +129,31 @@
 	return freed
 }
 
+// CloseSlowReader closes the session that has waited longest for its client to read a result, if that is at least
+// slowReaderThreshold. The result is then incomplete, which its client can tell. Call CloseSlowReader while other
+// results find no memory.
+func (s *Server) CloseSlowReader() {
+	if slow := s.removeSlowReader(time.Now().Add(-slowReaderThreshold)); slow != nil {
+		s.options.Counters.Add("slow_readers_closed", 1)
+		slow.conn.close()
+	}
+}
+
+// removeSlowReader removes the session whose write has been blocked for longest, if it has been since the given time.
+func (s *Server) removeSlowReader(since time.Time) (slowest *session) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, ses := range s.sessions.byID {
+		if blocked := ses.conn.blockedSince.Load(); blocked != nil && blocked.Before(since) {
+			slowest, since = ses, *blocked
+		}
+	}
+	if slowest != nil {
+		s.sessions.remove(slowest)
+	}
+	return slowest
+}
+
 // free releases the memory of a command.
 func (s *Server) free(c command) {
 	s.releaseInput(c.reserved)
