Log how close the process comes to its memory limit, and what holds the memory

Change: memory high, a warning when the process first reaches 60, 75 and 90 % of its limit, with the memory of large requests and unread results, sessions and goroutines; the same figures in the lines counters and stopped. input refused names a client whose commands find no memory, at most every 5 s. At the level debug, request ended tells id, class, answer, reason and attempts.

--- /dev/null
+++ b/cmd/gateway/memory.go
@@ -0,0 +1,75 @@
+package main
+
+import (
+	"context"
+	"log/slog"
+	"runtime"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"beechcart/internal/membudget"
+)
+
+const (
+	memoryCheckInterval = 250 * time.Millisecond
+	bytesPerMegabyte    = 1 << 20
+)
+
+// memoryWarningPercents are the shares of the memory limit that are logged when the process first reaches them.
+var memoryWarningPercents = []int{60, 75, 90}
+
+// memoryMonitor logs how close the process comes to its memory limit, and what holds the memory. A process over the
+// limit is killed without a word, so these lines are the only trace.
+type memoryMonitor struct {
+	limitMB         int
+	requests        *membudget.Budget
+	results         *membudget.Budget
+	sessions        func() int
+	log             *slog.Logger
+	warningsWritten int // of memoryWarningPercents
+}
+
+// run checks the memory until ctx ends.
+func (m *memoryMonitor) run(ctx context.Context) {
+	ticker := time.NewTicker(memoryCheckInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			m.check()
+		}
+	}
+}
+
+// check logs the highest share of the limit that the process has reached since the last check.
+func (m *memoryMonitor) check() {
+	peak, reached := peakMemoryMB(), m.warningsWritten
+	for reached < len(memoryWarningPercents) && peak*100 >= m.limitMB*memoryWarningPercents[reached] {
+		reached++
+	}
+	if reached == m.warningsWritten {
+		return
+	}
+	m.warningsWritten = reached
+	m.log.Warn("memory high", append([]any{"percent", memoryWarningPercents[reached-1]}, m.usage()...)...)
+}
+
+// usage returns the figures of memory as key-value pairs of a log line.
+func (m *memoryMonitor) usage() []any {
+	return []any{
+		"peak_mb", peakMemoryMB(), "limit_mb", m.limitMB, "request_kb", m.requests.Used() >> 10,
+		"result_kb", m.results.Used() >> 10, "sessions", m.sessions(), "goroutines", runtime.NumGoroutine(),
+	}
+}
+
+// peakMemoryMB returns the most resident memory that the process has had; 0 if the kernel does not tell.
+func peakMemoryMB() int {
+	var usage unix.Rusage
+	if unix.Getrusage(unix.RUSAGE_SELF, &usage) != nil {
+		return 0
+	}
+	return int(usage.Maxrss << 10 / bytesPerMegabyte)
+}
--- a/cmd/gateway/server.go
+++ b/cmd/gateway/server.go
@@ -49,8 +49,8 @@
 
 // Divisors that set the shares of the process's memory for large requests of clients, and for rows of results.
 const (
-	inputMemoryDivisor  = 8
-	resultMemoryDivisor = 8
+	requestMemoryDivisor = 8
+	resultMemoryDivisor  = 8
 )
 
 // server holds the components of a front end, from the start to the shutdown of the process.
@@ -63,6 +63,7 @@
 	listener   *mysql.Server
 	endpoints  *endpointFollower
 	member     membership
+	memory     *memoryMonitor
 
 	ctx     context.Context // cancelled by close
 	closers []func()        // in the order of the starts
@@ -137,6 +138,13 @@
 	if err != nil {
 		return nil, fmt.Errorf("configuration: %w", err)
 	}
+	s.memory = &memoryMonitor{
+		limitMB:  platform.MemoryMB,
+		requests: membudget.New(platform.MemoryMB * bytesPerMegabyte / requestMemoryDivisor),
+		results:  membudget.New(platform.MemoryMB * bytesPerMegabyte / resultMemoryDivisor),
+		sessions: func() int { return s.listener.Sessions() },
+		log:      log,
+	}
 	s.dispatcher = dispatch.New(controller, platform.Admission.Classes, counters, log)
 	reuse, err := operators.ReusePolicy(platform.HandshakePrice, platform.Descriptors)
 	if err != nil {
@@ -150,7 +158,7 @@
 		Classes:        platform.Admission.Classes,
 		MayDelete:      platform.Admission.CancellationAllowed,
 		Reuse:          reuse,
-		Results:        membudget.New(platform.MemoryMB << 20 / resultMemoryDivisor),
+		Results:        s.memory.results,
 		FreeResults:    func() { s.listener.CloseSlowReader() },
 		AwaitInput:     func() { s.listener.AwaitInput() },
 	}, s.dispatcher)
@@ -158,7 +166,7 @@
 		Names:       platform.Names,
 		MaxSessions: operators.Clients.SessionLimit(platform.Descriptors),
 		IdleTimeout: operators.Clients.IdleTimeout,
-		Input:       membudget.New(platform.MemoryMB << 20 / inputMemoryDivisor),
+		Input:       s.memory.requests,
 		Counters:    counters,
 		Log:         log,
 	}, s.dispatcher)
@@ -220,7 +228,8 @@
 	if err != nil {
 		return err
 	}
-	go logCounters(s.ctx, s.counters, s.log)
+	go logCounters(s.ctx, s.counters, s.memory, s.log)
+	go s.memory.run(s.ctx)
 	return nil
 }
 
@@ -289,7 +298,7 @@
 		return err
 	}
 	s.member.Close()
-	s.log.Info("stopped", "counters", s.counters.String())
+	s.log.Info("stopped", append(s.memory.usage(), "counters", s.counters.String())...)
 	return nil
 }
 
@@ -302,8 +311,8 @@
 	return min(longest, maxDeadline) + killDelay - killMargin
 }
 
-// logCounters logs the counters every counterLogInterval until ctx is cancelled.
-func logCounters(ctx context.Context, counters *invariant.Counters, log *slog.Logger) {
+// logCounters logs the counters and the memory every counterLogInterval until ctx is cancelled.
+func logCounters(ctx context.Context, counters *invariant.Counters, memory *memoryMonitor, log *slog.Logger) {
 	ticker := time.NewTicker(counterLogInterval)
 	defer ticker.Stop()
 	for {
@@ -311,7 +320,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			log.Info("counters", "counters", counters.String())
+			log.Info("counters", append(memory.usage(), "counters", counters.String())...)
 		}
 	}
 }
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"context"
+	"log/slog"
 	"time"
 
 	"beechcart/admission"
@@ -149,9 +151,21 @@
 	}
 	r.deadline.Stop()
 	delete(d.open, r.exchange.ID)
+	d.logEnd(r)
 	r.exchange.Release()
 }
 
+// logEnd logs how a request has ended, at the level debug.
+func (d *Dispatcher) logEnd(r *request) {
+	if !d.log.Enabled(context.Background(), slog.LevelDebug) {
+		return
+	}
+	<-r.exchange.Done()
+	answer := r.exchange.Answer()
+	d.log.Debug("request ended", "id", r.exchange.ID, "class", r.exchange.ClassName, "answer", answer.Kind.String(),
+		"why", answer.Reason, "attempts", r.attempts, "may_have_run", !r.mayHaveRunSince.IsZero())
+}
+
 func statusName(s admission.Status) string {
 	return [...]string{"error", "ok", "full", "timeout", "connect_failed", "reset", "cancelled", "moot"}[s]
 }
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -36,6 +36,11 @@
 	ClientGone            // the client has disconnected or cancelled the request: no client waits for an answer
 )
 
+// String returns the name of the kind, for log lines.
+func (k AnswerKind) String() string {
+	return [...]string{"served", "rejected", "failed", "client gone"}[k]
+}
+
 // Answer is the final answer of a request.
 type Answer struct {
 	Kind       AnswerKind
--- a/internal/mysql/command.go
+++ b/internal/mysql/command.go
@@ -27,7 +27,7 @@
 
 // refuse answers a packet for which there was no memory, or that was sent behind too many others. It has not run.
 func (s *session) refuse() bool {
-	s.server.options.Counters.Add("input_refused", 1)
+	s.server.countRefused(s)
 	if !s.loggedIn {
 		return s.failAndDrain(errTooManyConnections, "Too many connections")
 	}
--- a/internal/mysql/limits.go
+++ b/internal/mysql/limits.go
@@ -43,8 +43,8 @@
 )
 
 const (
-	expiryInterval       = 25 * time.Millisecond
-	malformedLogInterval = 5 * time.Second
+	expiryInterval   = 25 * time.Millisecond
+	inputLogInterval = 5 * time.Second
 )
 
 // admit reports whether a new session fits into the limit of sessions, and returns the removed sessions, whose
--- a/internal/mysql/server.go
+++ b/internal/mysql/server.go
@@ -46,6 +46,7 @@
 	sessions          sessionList      // guarded by mu
 	listener          netpoll.Listener // guarded by mu; nil before Serve
 	malformedLoggedAt time.Time        // guarded by mu
+	refusedLoggedAt   time.Time        // guarded by mu
 	madeRoomAt        time.Time        // guarded by mu; the time of the last call of makeRoom that looked for memory
 
 	stall    stallDetector
@@ -86,6 +87,13 @@
 	return s.eventLoop.Serve(&acceptor{Listener: l, accepted: s.accept})
 }
 
+// Sessions returns the number of open sessions.
+func (s *Server) Sessions() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.sessions.byID)
+}
+
 // accept registers a session for a connection as soon as it is accepted, and starts it.
 func (s *Server) accept(c netpoll.Conn) {
 	ses := &session{server: s, phaseSince: time.Now()}
@@ -124,14 +132,30 @@
 	return true
 }
 
-// countMalformed counts malformed input, and logs the reason at most once per malformedLogInterval.
+// countMalformed counts malformed input, and logs the reason at most once per inputLogInterval.
 func (s *Server) countMalformed(ses *session, reason string) {
 	s.options.Counters.Add("malformed", 1)
+	if s.mayLog(&s.malformedLoggedAt) {
+		s.options.Log.Warn("malformed input", "peer", ses.conn.remote.String(), "why", reason)
+	}
+}
+
+// countRefused counts a command for which there was no memory, and logs it at most once per inputLogInterval.
+func (s *Server) countRefused(ses *session) {
+	s.options.Counters.Add("input_refused", 1)
+	if s.mayLog(&s.refusedLoggedAt) {
+		s.options.Log.Warn("input refused", "peer", ses.conn.remote.String(), "session", ses.id,
+			"request_kb", s.options.Input.Used()>>10, "limit_kb", s.options.Input.Limit()>>10)
+	}
+}
+
+// mayLog reports whether a line may be logged again that was logged at the given time, which is guarded by mu.
+func (s *Server) mayLog(loggedAt *time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if time.Since(s.malformedLoggedAt) < malformedLogInterval {
-		return
+	if time.Since(*loggedAt) < inputLogInterval {
+		return false
 	}
-	s.malformedLoggedAt = time.Now()
-	s.options.Log.Warn("malformed input", "peer", ses.conn.remote.String(), "why", reason)
+	*loggedAt = time.Now()
+	return true
 }
