Answer requests sent at once in time, also during a flood and at a shutdown

Callers saw: of several requests that a client had sent at once, one with little time was answered only after those before it, up to 20 s late.

Cause: answers are written in order, and a request was not looked at before its turn.

Change: a request that waits is read for its deadline, a refused one by its first 256 bytes. An open request ahead of one that is 0.2 s over its time is cancelled, and one that has not been opened is rejected.

Reads that fill a buffer are paced at 64 MB a second over all sessions. - A session chosen to be closed was closed up to 0.3 s later, behind the goroutine that reads it, so requests came in between. Its connection now ends in the same moment; at a shutdown a session ends right behind its answer; all requests are answered 0.3 s before the kill (was 0.15 s). Also, the peak in memory high was that of the program's parent.

--- a/cmd/gateway/memory.go
+++ b/cmd/gateway/memory.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"log/slog"
+	"os"
 	"runtime"
+	"strconv"
+	"strings"
+	"sync/atomic"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"beechcart/internal/membudget"
 )
 
@@ -27,7 +29,8 @@
 	results         *membudget.Budget
 	sessions        func() int
 	log             *slog.Logger
-	warningsWritten int // of memoryWarningPercents
+	warningsWritten int          // of memoryWarningPercents
+	peakMB          atomic.Int64 // the most resident memory that was measured
 }
 
 // run checks the memory until ctx ends.
@@ -44,9 +47,9 @@
 	}
 }
 
-// check logs the highest share of the limit that the process has reached since the last check.
+// check measures the memory, and logs the highest share of the limit that the process has reached since the last check.
 func (m *memoryMonitor) check() {
-	peak, reached := peakMemoryMB(), m.warningsWritten
+	peak, reached := m.measurePeak(), m.warningsWritten
 	for reached < len(memoryWarningPercents) && peak*100 >= m.limitMB*memoryWarningPercents[reached] {
 		reached++
 	}
@@ -60,16 +63,36 @@
 // usage returns the figures of memory as key-value pairs of a log line.
 func (m *memoryMonitor) usage() []any {
 	return []any{
-		"peak_mb", peakMemoryMB(), "limit_mb", m.limitMB, "request_kb", m.requests.Used() >> 10,
+		"peak_mb", m.measurePeak(), "limit_mb", m.limitMB, "request_kb", m.requests.Used() >> 10,
 		"result_kb", m.results.Used() >> 10, "sessions", m.sessions(), "goroutines", runtime.NumGoroutine(),
 	}
 }
 
-// peakMemoryMB returns the most resident memory that the process has had; 0 if the kernel does not tell.
-func peakMemoryMB() int {
-	var usage unix.Rusage
-	if unix.Getrusage(unix.RUSAGE_SELF, &usage) != nil {
+// measurePeak returns the most resident memory that any call has found.
+func (m *memoryMonitor) measurePeak() int {
+	resident := int64(residentMemoryMB())
+	for {
+		peak := m.peakMB.Load()
+		if resident <= peak || m.peakMB.CompareAndSwap(peak, resident) {
+			return int(max(resident, peak))
+		}
+	}
+}
+
+// residentMemoryMB returns the resident memory of the process; 0 if the kernel does not tell. The peak that the kernel
+// keeps is no use: it includes the process that started this one.
+func residentMemoryMB() int {
+	statm, err := os.ReadFile("/proc/self/statm")
+	if err != nil {
+		return 0
+	}
+	fields := strings.Fields(string(statm))
+	if len(fields) < 2 {
+		return 0
+	}
+	pages, err := strconv.Atoi(fields[1])
+	if err != nil {
 		return 0
 	}
-	return int(usage.Maxrss << 10 / bytesPerMegabyte)
+	return pages * os.Getpagesize() / bytesPerMegabyte
 }
--- a/cmd/gateway/server.go
+++ b/cmd/gateway/server.go
@@ -41,8 +41,8 @@
 	killDelay   = 700 * time.Millisecond
 	// All requests must be answered killMargin before the kill, so that there is time to send the last answers. Within
 	// killMargin, sessions of clients that do not read their answers stay open for at most sessionMargin.
-	killMargin    = 150 * time.Millisecond
-	sessionMargin = 100 * time.Millisecond
+	killMargin    = 300 * time.Millisecond
+	sessionMargin = 150 * time.Millisecond
 
 	counterLogInterval = 30 * time.Second
 )
--- a/internal/mysql/command.go
+++ b/internal/mysql/command.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"time"
 
 	"beechcart/internal/copycount"
 	"beechcart/internal/exchange"
@@ -119,12 +120,22 @@
 	return x
 }
 
+// isHoldUp reports whether a request that has not been opened holds up the answer to another one.
+func (s *session) isHoldUp() bool {
+	s.server.mu.Lock()
+	defer s.server.mu.Unlock()
+	return s.holdsUpAnswer(time.Now())
+}
+
 // serveRequest hands a request to the handler and writes the answer.
 func (s *session) serveRequest(x *exchange.Exchange) bool {
 	s.enter(serving)
 	if !s.caughtUp() {
 		return s.refuse()
 	}
+	if s.isHoldUp() {
+		return s.answer(exchange.Answer{Kind: exchange.Rejected, Reason: "no time is left for a request sent behind"})
+	}
 	switch ok, killed := s.openRequest(x); {
 	case !ok:
 		s.server.options.Counters.Add("left_unread", 1)
--- a/internal/mysql/connection.go
+++ b/internal/mysql/connection.go
@@ -30,6 +30,7 @@
 	consume   func(input []byte)    // receives the input, which is valid during the call
 	readOnce  func(fd uintptr) bool // readAvailable
 	readError error                 // of the latest readOnce
+	readFull  bool                  // the latest readOnce has filled its buffer
 
 	writeOnce  func(fd uintptr) bool // writeAvailable
 	unwritten  []byte                // what the latest writeOnce has left
@@ -86,6 +87,7 @@
 		c.readError = io.EOF
 	default:
 		c.drained.Store(false)
+		c.readFull = n == len(buffer)
 		c.consume(buffer[:n])
 	}
 	return true
@@ -131,6 +133,10 @@
 	return true
 }
 
+// hangUp ends both directions at once. Unlike close, it neither waits nor needs the processor again, so a request that
+// arrives later crosses the end of the connection by no more than the network's delay.
+func (c *connection) hangUp() { _ = unix.Shutdown(int(c.fd), unix.SHUT_RDWR) }
+
 // endAfter makes read fail after the timeout.
 func (c *connection) endAfter(timeout time.Duration) {
 	_ = c.file.SetReadDeadline(time.Now().Add(timeout))
@@ -141,9 +147,12 @@
 	_ = c.raw.Control(func(fd uintptr) { _ = unix.Shutdown(int(fd), unix.SHUT_WR) })
 }
 
-// close closes the socket. It must not be called during consume, which it waits for.
+// close closes the socket. It waits for the goroutines that read and write, and so must not be called during consume.
 func (c *connection) close() { _ = c.file.Close() }
 
+// closeSoon closes the socket without waiting.
+func (c *connection) closeSoon() { go c.close() }
+
 // ignoringInterrupts repeats a system call until no signal interrupts it.
 func ignoringInterrupts(call func() (int, error)) (n int, err error) {
 	for {
--- a/internal/mysql/inbox.go
+++ b/internal/mysql/inbox.go
@@ -28,8 +28,14 @@
 	if last := len(s.inbox) - 1; c.refused > 0 && last >= s.served && s.inbox[last].refused > 0 &&
 		s.inbox[last].sequence == c.sequence {
 		s.inbox[last].refused += c.refused
+		if at := s.inbox[last].answerBy; at.IsZero() || (!c.answerBy.IsZero() && c.answerBy.Before(at)) {
+			s.inbox[last].answerBy = c.answerBy
+		}
 		return
 	}
+	if s.active && c.refused == 0 {
+		c.answerBy = answerTime(c)
+	}
 	s.inbox = append(s.inbox, c)
 	s.queuedBytes += c.size()
 	if !s.active {
@@ -60,10 +66,14 @@
 func (s *session) nextCommand() (c command, ok bool) {
 	s.server.mu.Lock()
 	defer s.server.mu.Unlock()
-	s.foundIdle = false
+	s.foundIdle, s.answering = false, false
 	if s.served == len(s.inbox) || s.ended {
 		s.active = false
 		s.settlePhase()
+		if s.server.stopping && s.phase == idle && !s.conn.hasUnread() {
+			s.server.sessions.hangUp(s)
+			s.conn.closeSoon()
+		}
 		return command{}, false
 	}
 	next := &s.inbox[s.served]
--- a/internal/mysql/input.go
+++ b/internal/mysql/input.go
@@ -9,6 +9,9 @@
 	"beechcart/internal/membudget"
 )
 
+// refusalStartBytes is how much of a refused packet is kept until it is answered: enough for the fields of a request.
+const refusalStartBytes = 256
+
 // smallPayload is memory for the payload of a small command that need not wait for others. It is reused once the
 // command has been served.
 type smallPayload [1 << 10]byte
@@ -22,6 +25,7 @@
 	reserved int           // bytes of the server's input budget, to be released after use
 	sequence byte
 	arrived  time.Time   // of the last byte
+	answerBy time.Time   // when the answers before this command must be written; zero: no matter
 	refused  int         // number of refused packets, whose payloads were discarded; 0: the packet is whole
 	fatal    *fatalInput // the input ends here; nil: it goes on
 }
@@ -54,6 +58,8 @@
 	missing   int              // guarded by mu; payload bytes that have not arrived; 0: no packet has begun
 	queued    int              // guarded by mu; size of the commands that waited after the latest delivery
 	refused   discarded        // guarded by mu; since no command waited
+	refusing  bool             // guarded by mu; the current packet is refused, and that has not been delivered
+	start     []byte           // guarded by mu; the first bytes of a packet while it is refused
 	begunAt   time.Time        // guarded by mu; when the first byte of the payload was due
 	closed    bool             // guarded by mu; all input is discarded
 }
@@ -84,14 +90,19 @@
 		}
 		n := min(len(b), in.missing)
 		if in.payload != nil && !in.keep(b[:n]) {
+			in.start = append(in.start[:0], in.payload[:min(len(in.payload), refusalStartBytes)]...)
 			in.discard()
 			d.refusals += in.refuse()
 		}
 		if in.payload == nil {
 			d.bytes += n
 			in.refused.bytes += n
+			in.start = append(in.start, b[:min(n, refusalStartBytes-len(in.start))]...)
 		}
 		in.missing -= n
+		if in.refusing && (in.missing == 0 || len(in.start) == refusalStartBytes) {
+			in.deliverRefusal()
+		}
 		b = b[n:]
 		if in.missing == 0 {
 			in.complete()
@@ -136,6 +147,7 @@
 		needed = first + commandOverhead
 	}
 	if needed > 0 && (in.queued+in.missing+commandOverhead > maxPipelinedBytes || !in.reserve(needed)) {
+		in.start = in.start[:0]
 		return in.refuse()
 	}
 	in.reserved = needed
@@ -181,15 +193,21 @@
 	in.payload, in.small, in.reserved = nil, nil, 0
 }
 
-// refuse delivers the command for a packet whose payload is discarded. It returns the number of packets, 1.
+// refuse refuses the current packet, whose payload is discarded. It returns the number of packets, 1.
 func (in *input) refuse() int {
-	in.queued = in.deliver(in.refusal())
+	in.refusing = true
 	in.refused.refusals++
 	return 1
 }
 
+// deliverRefusal delivers the command for a refused packet, once its start shows how much time it has.
+func (in *input) deliverRefusal() { in.queued = in.deliver(in.refusal()) }
+
 func (in *input) refusal() command {
-	return command{sequence: in.nextSequence(), arrived: in.begunAt, refused: 1}
+	c := command{payload: in.start, sequence: in.nextSequence(), arrived: in.begunAt, refused: 1}
+	c.answerBy = answerTime(c)
+	c.payload, in.refusing, in.start = nil, false, in.start[:0]
+	return c
 }
 
 // nextSequence returns the sequence number of the first packet of the answer.
@@ -219,6 +237,7 @@
 	if in.reserved == 0 || !in.begunAt.Before(begunBefore) {
 		return command{}, false
 	}
+	in.start = append(in.start[:0], in.payload[:min(len(in.payload), refusalStartBytes)]...)
 	in.discard()
 	return in.refusal(), true
 }
--- a/internal/mysql/limits.go
+++ b/internal/mysql/limits.go
@@ -16,10 +16,10 @@
 
 // Rates of all sessions together.
 const (
-	maxDiscardRate      = 128 << 20 // refused input, in bytes a second
-	maxDrainRate        = 8 << 20   // input after its end, in bytes a second
-	maxRefusalRate      = 500000    // discarded packets a second
-	maxPacedCommandRate = 10000     // commands a second of the sessions that have used up their allowance
+	maxReadRate         = 64 << 20 // input of clients that fill a read buffer, in bytes a second
+	maxDrainRate        = 8 << 20  // input after its end, in bytes a second
+	maxRefusalRate      = 500000   // discarded packets a second
+	maxPacedCommandRate = 10000    // commands a second of the sessions that have used up their allowance
 )
 
 // A session's allowance of commands.
@@ -64,7 +64,7 @@
 			return removed, false
 		}
 		s.options.Counters.Add("sessions_evicted", 1)
-		s.sessions.remove(candidate)
+		s.sessions.hangUp(candidate)
 		removed = append(removed, candidate)
 	}
 	return removed, true
@@ -83,6 +83,7 @@
 		case <-tick.C:
 		}
 		s.stall.tick()
+		s.cancelHoldUps(time.Now())
 		expired = expired[:0]
 		s.mu.Lock()
 		s.sessions.removeTimedOut(time.Now(), s.options.IdleTimeout, func(ses *session) {
@@ -91,7 +92,7 @@
 		})
 		s.mu.Unlock()
 		for _, ses := range expired {
-			ses.conn.close()
+			ses.conn.closeSoon()
 		}
 		clear(expired)
 	}
@@ -135,7 +136,7 @@
 func (s *Server) CloseSlowReader() {
 	if slow := s.removeSlowReader(time.Now().Add(-slowReaderThreshold)); slow != nil {
 		s.options.Counters.Add("slow_readers_closed", 1)
-		slow.conn.close()
+		slow.conn.closeSoon()
 	}
 }
 
@@ -149,7 +150,7 @@
 		}
 	}
 	if slowest != nil {
-		s.sessions.remove(slowest)
+		s.sessions.hangUp(slowest)
 	}
 	return slowest
 }
--- a/internal/mysql/server.go
+++ b/internal/mysql/server.go
@@ -45,12 +45,14 @@
 	mu                sync.Mutex
 	sessions          sessionList      // guarded by mu
 	listener          netpoll.Listener // guarded by mu; nil before Serve
+	stopping          bool             // guarded by mu; a session ends once it has answered all commands
 	malformedLoggedAt time.Time        // guarded by mu
 	refusedLoggedAt   time.Time        // guarded by mu
 	madeRoomAt        time.Time        // guarded by mu; the time of the last call of makeRoom that looked for memory
 
 	stall    stallDetector
-	discards pacer // of refused input
+	reads    pacer // of clients that send more than fits into a read buffer
+	refusals pacer // of commands that are refused
 	drains   pacer // of input after its end
 	commands pacer // of clients that send commands at a high rate
 }
@@ -126,7 +128,7 @@
 	s.mu.Lock()
 	// KILL QUERY may be processed before the query that it cancels has been read. The session remembers the
 	// cancellation, so that the query is not run for a client that no longer waits for its answer.
-	ses.killed = ses.openExchange == nil && ses.registered && ses.hasInput()
+	ses.killed = ses.openExchange == nil && ses.registered && ses.hasQueryToRead()
 	s.mu.Unlock()
 	ses.abandonRequest()
 	return true
--- a/internal/mysql/session.go
+++ b/internal/mysql/session.go
@@ -48,6 +48,7 @@
 	draining     bool      // the final error has been written, and input is discarded
 	sentCommand  bool
 	openExchange *exchange.Exchange // the request being served
+	answering    bool               // the answer to the latest request is being written
 	killed       bool               // KILL QUERY was processed before the query to cancel was read
 	foundIdle    bool               // the last check of Shutdown found the session idle, and it was not used since
 	phase        phase
@@ -67,6 +68,9 @@
 		if s.conn.read() != nil || !s.slowDown() {
 			return
 		}
+		if s.conn.readFull {
+			s.server.reads.wait(readBufferBytes * time.Second / maxReadRate)
+		}
 	}
 }
 
@@ -75,7 +79,7 @@
 func (s *session) greet() bool {
 	removed, ok := s.server.admit(s)
 	for _, r := range removed {
-		r.conn.close()
+		r.conn.closeSoon()
 	}
 	if ok {
 		return s.write(appendGreeting(nil, s.id)) == nil
@@ -100,8 +104,7 @@
 		s.countFlood()
 	}
 	if !s.input.hasEnded() {
-		cost := time.Duration(d.bytes)*time.Second/maxDiscardRate + time.Duration(d.refusals)*time.Second/maxRefusalRate
-		s.server.discards.wait(cost)
+		s.server.refusals.wait(time.Duration(d.refusals) * time.Second / maxRefusalRate)
 		return true
 	}
 	s.server.drains.wait(time.Duration(d.bytes) * time.Second / maxDrainRate)
@@ -121,18 +124,26 @@
 	}
 }
 
-// disconnected ends the session after its connection could not be read any further.
+// disconnected ends the session after its connection could not be read any further. The open request is abandoned
+// before the descriptor is free for another connection: an attempt that is about to start asks the descriptor whether
+// its client is connected.
 func (s *session) disconnected() {
-	s.close()
+	s.unregister()
 	s.abandonRequest()
 	s.dropInbox()
+	s.conn.close()
 }
 
-// close unregisters the session, so that no further request is accepted, and closes its connection.
-func (s *session) close() {
+// unregister removes the session from the server, so that no further request is accepted.
+func (s *session) unregister() {
 	s.server.mu.Lock()
 	s.server.sessions.remove(s)
 	s.server.mu.Unlock()
+}
+
+// close unregisters the session, so that no further request is accepted, and closes its connection.
+func (s *session) close() {
+	s.unregister()
 	s.conn.close()
 }
 
@@ -150,10 +161,19 @@
 		if !s.commands.take(commandBurst, commandRate) {
 			s.server.commands.wait(time.Second / maxPacedCommandRate)
 		}
-		runtime.Gosched() // a client with many commands must not use up a whole time slice of the scheduler
+		if s.hasCommands() {
+			runtime.Gosched() // a client with many commands must not use up a whole time slice of the scheduler
+		}
 	}
 }
 
+// hasCommands reports whether commands wait to be served.
+func (s *session) hasCommands() bool {
+	s.server.mu.Lock()
+	defer s.server.mu.Unlock()
+	return s.served < len(s.inbox)
+}
+
 // stopServing closes the session, or discards its input for a while after a final error.
 func (s *session) stopServing() {
 	if s.isDraining() {
@@ -213,7 +233,7 @@
 // closeRequest clears the open request after it has been settled.
 func (s *session) closeRequest() {
 	s.server.mu.Lock()
-	s.openExchange = nil
+	s.openExchange, s.answering = nil, true
 	s.server.mu.Unlock()
 }
 
@@ -223,6 +243,12 @@
 	return s.conn.hasUnread() || s.active || s.partial || len(s.inbox) > 0
 }
 
+// hasQueryToRead reports whether a KILL QUERY may be meant for a query that has not been opened yet: there is input
+// that has not been served, or a command is being read. The caller holds the server's lock.
+func (s *session) hasQueryToRead() bool {
+	return s.conn.hasUnread() || s.partial || s.served < len(s.inbox) || (s.active && !s.answering)
+}
+
 // caughtUp reports whether all input has been read that the client had sent. Only then is it known whether the client
 // has closed its connection behind its requests. It waits a moment for the goroutine that reads the connection.
 func (s *session) caughtUp() bool {
--- a/internal/mysql/session_list.go
+++ b/internal/mysql/session_list.go
@@ -57,6 +57,14 @@
 	l.byPhase[s.phase].push(s)
 }
 
+// hangUp removes a session and ends its connection. The caller must close the connection afterwards, without the lock.
+func (l *sessionList) hangUp(s *session) {
+	if s.registered {
+		s.conn.hangUp()
+		l.remove(s)
+	}
+}
+
 // remove removes a session. Removing a session again has no effect.
 func (l *sessionList) remove(s *session) {
 	if !s.registered {
@@ -136,7 +144,7 @@
 			// Input that arrived in time may still be unread if this process was not scheduled meanwhile.
 			if limit.phase == reading || now.Sub(s.phaseSince) > limit.timeout+unreadGrace || !s.hasInput() {
 				expired(s)
-				l.remove(s)
+				l.hangUp(s)
 			}
 			s = next
 		}
--- a/internal/mysql/shutdown.go
+++ b/internal/mysql/shutdown.go
@@ -13,11 +13,15 @@
 // registered yet.
 const requiredIdleChecks = 2
 
-// Shutdown closes each session as soon as it has no open request, and then the listener. When ctx ends, Shutdown closes
+// Shutdown closes each session as soon as it has no open request, a busy one right behind an answer, and then the
+// listener. When ctx ends, Shutdown closes
 // everything that is still open and returns the error of ctx. The listener is closed last, once the accept queue is
 // empty: clients cancel queries on new connections, and a request that was written to a connection in the accept queue
 // counts as accepted.
 func (s *Server) Shutdown(ctx context.Context) error {
+	s.mu.Lock()
+	s.stopping = true
+	s.mu.Unlock()
 	tick := time.NewTicker(expiryInterval)
 	defer tick.Stop()
 	for idleChecks := 0; idleChecks < requiredIdleChecks; idleChecks++ {
@@ -50,12 +54,12 @@
 	var left []*session
 	s.mu.Lock()
 	for _, ses := range s.sessions.byID {
-		s.sessions.remove(ses)
+		s.sessions.hangUp(ses)
 		left = append(left, ses)
 	}
 	s.mu.Unlock()
 	for _, ses := range left {
-		ses.conn.close()
+		ses.conn.closeSoon()
 	}
 	return s.eventLoop.Shutdown(ctx)
 }
@@ -90,12 +94,12 @@
 			newlyIdle++
 		default:
 			idleSessions = append(idleSessions, ses)
-			s.sessions.remove(ses)
+			s.sessions.hangUp(ses)
 		}
 	}
 	s.mu.Unlock()
 	for _, ses := range idleSessions {
-		ses.conn.close()
+		ses.conn.closeSoon()
 	}
 	return busy, newlyIdle
 }
