Count a request's time from when its input may have arrived, and pace by session

Cause: pacing delays reads, so a request that was read late counted as arrived late; and an ordinary session waited for its turn behind hundreds of floods.

Change: the time of a request counts from the first read of a burst, before which its bytes cannot have arrived. Only what exceeds a session's allowance is paced (512 KB of reads that fill their buffer, 256 KB a second).

--- a/internal/mysql/connection.go
+++ b/internal/mysql/connection.go
@@ -30,7 +30,8 @@
 	consume   func(input []byte)    // receives the input, which is valid during the call
 	readOnce  func(fd uintptr) bool // readAvailable
 	readError error                 // of the latest readOnce
-	readFull  bool                  // the latest readOnce has filled its buffer
+	readFull  bool                  // the latest readOnce has filled its buffer: there may be more input
+	burstAt   time.Time             // the time of the first read since the latest one that has not filled its buffer
 
 	writeOnce  func(fd uintptr) bool // writeAvailable
 	unwritten  []byte                // what the latest writeOnce has left
@@ -87,6 +88,9 @@
 		c.readError = io.EOF
 	default:
 		c.drained.Store(false)
+		if !c.readFull {
+			c.burstAt = time.Now()
+		}
 		c.readFull = n == len(buffer)
 		c.consume(buffer[:n])
 	}
--- a/internal/mysql/inbox.go
+++ b/internal/mysql/inbox.go
@@ -7,7 +7,7 @@
 	s.server.mu.Lock()
 	queued := s.queuedBytes
 	s.server.mu.Unlock()
-	s.discarded = s.input.receive(b, queued)
+	s.discarded = s.input.receive(b, s.conn.burstAt, queued)
 	s.notePartial()
 }
 
--- a/internal/mysql/input.go
+++ b/internal/mysql/input.go
@@ -24,7 +24,7 @@
 	small    *smallPayload // the memory of payload; nil: payload has memory of its own
 	reserved int           // bytes of the server's input budget, to be released after use
 	sequence byte
-	arrived  time.Time   // of the last byte
+	arrived  time.Time   // of the last byte, at the earliest
 	answerBy time.Time   // when the answers before this command must be written; zero: no matter
 	refused  int         // number of refused packets, whose payloads were discarded; 0: the packet is whole
 	fatal    *fatalInput // the input ends here; nil: it goes on
@@ -61,6 +61,7 @@
 	refusing  bool             // guarded by mu; the current packet is refused, and that has not been delivered
 	start     []byte           // guarded by mu; the first bytes of a packet while it is refused
 	begunAt   time.Time        // guarded by mu; when the first byte of the payload was due
+	arrived   time.Time        // guarded by mu; when the latest bytes may have arrived
 	closed    bool             // guarded by mu; all input is discarded
 }
 
@@ -71,11 +72,12 @@
 	flooded  bool // so much that the input has ended
 }
 
-// receive processes bytes of the client. queued is the size of the commands that wait to be served. Commands are
-// delivered once they are complete, or once their payload is discarded.
-func (in *input) receive(b []byte, queued int) (d discarded) {
+// receive processes bytes of the client, which may have arrived at the given time already. queued is the size of the
+// commands that wait to be served. Commands are delivered once they are complete, or once their payload is discarded.
+func (in *input) receive(b []byte, arrived time.Time, queued int) (d discarded) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
+	in.arrived = arrived
 	if in.queued = queued; queued == 0 {
 		in.refused = discarded{}
 	}
@@ -120,14 +122,14 @@
 func (in *input) end(fatal fatalInput) {
 	in.discard()
 	in.closed = true
-	in.deliver(command{sequence: in.nextSequence(), arrived: time.Now(), fatal: &fatal})
+	in.deliver(command{sequence: in.nextSequence(), arrived: in.arrived, fatal: &fatal})
 }
 
 // complete delivers the current packet, unless it has been refused.
 func (in *input) complete() {
 	if in.payload != nil {
 		in.queued = in.deliver(command{
-			payload: in.payload, small: in.small, reserved: in.reserved, sequence: in.nextSequence(), arrived: time.Now(),
+			payload: in.payload, small: in.small, reserved: in.reserved, sequence: in.nextSequence(), arrived: in.arrived,
 		})
 	}
 	in.headerLen, in.payload, in.small, in.reserved = 0, nil, nil, 0
@@ -135,7 +137,7 @@
 
 // begin starts a packet whose header is complete. It returns 1 if the packet is refused, else 0.
 func (in *input) begin() (refusals int) {
-	in.missing, in.begunAt = packetSize(in.header[:]), time.Now()
+	in.missing, in.begunAt = packetSize(in.header[:]), in.arrived
 	if in.missing == 0 || in.missing > maxPacketBytes {
 		reason := fmt.Sprintf("packet of %d bytes", in.missing)
 		in.end(fatalInput{errPacketTooLarge, "packet size is out of bounds", reason})
--- a/internal/mysql/limits.go
+++ b/internal/mysql/limits.go
@@ -18,14 +18,15 @@
 const (
 	maxReadRate         = 64 << 20 // input of clients that fill a read buffer, in bytes a second
 	maxDrainRate        = 8 << 20  // input after its end, in bytes a second
-	maxRefusalRate      = 500000   // discarded packets a second
 	maxPacedCommandRate = 10000    // commands a second of the sessions that have used up their allowance
 )
 
-// A session's allowance of commands.
+// A session's allowances. What exceeds them is paced over all sessions.
 const (
 	commandBurst = 200
 	commandRate  = 500 // commands a second
+	readBurst    = 32  // reads that fill their buffer, 512 KB
+	readRate     = 16  // such reads a second
 )
 
 // Time limits of a session. A client that sends no first command, only a part of a packet, or invalid input is answered
--- a/internal/mysql/server.go
+++ b/internal/mysql/server.go
@@ -52,7 +52,6 @@
 
 	stall    stallDetector
 	reads    pacer // of clients that send more than fits into a read buffer
-	refusals pacer // of commands that are refused
 	drains   pacer // of input after its end
 	commands pacer // of clients that send commands at a high rate
 }
--- a/internal/mysql/session.go
+++ b/internal/mysql/session.go
@@ -32,6 +32,7 @@
 	discarded discarded // of the latest read
 	drained   int       // bytes discarded since the input has ended
 	flooded   bool      // counted as flooded
+	reads     allowance // of reads that fill their buffer
 
 	// Owned by the goroutine that serves commands.
 	sequence byte // number of the next packet to write
@@ -68,7 +69,7 @@
 		if s.conn.read() != nil || !s.slowDown() {
 			return
 		}
-		if s.conn.readFull {
+		if s.conn.readFull && !s.reads.take(readBurst, readRate) {
 			s.server.reads.wait(readBufferBytes * time.Second / maxReadRate)
 		}
 	}
@@ -97,14 +98,10 @@
 // open request, which is cancelled.
 func (s *session) slowDown() bool {
 	d := s.discarded
-	if d.bytes == 0 && d.refusals == 0 {
-		return true
-	}
 	if d.flooded {
 		s.countFlood()
 	}
-	if !s.input.hasEnded() {
-		s.server.refusals.wait(time.Duration(d.refusals) * time.Second / maxRefusalRate)
+	if d.bytes == 0 || !s.input.hasEnded() {
 		return true
 	}
 	s.server.drains.wait(time.Duration(d.bytes) * time.Second / maxDrainRate)
