--- a/internal/engine/row_buffer.go
+++ b/internal/engine/row_buffer.go
@@ -19,12 +19,12 @@
 	b       []byte
 }
 
-// append appends the rows of a page. If the buffer is too small, its capacity is doubled, or set to size if that is
-// less but enough. append returns false, and frees the buffer, if there is no memory.
+// append appends the rows of a page. If the buffer is too small, it grows by a quarter, or as needed, to at most size
+// bytes; the first page sets its capacity to size. append returns false, and frees the buffer, if there is no memory.
 func (r *rowBuffer) append(page []byte, size int) bool {
 	if need := len(r.b) + len(page); need > cap(r.b) {
 		if len(r.b) > 0 {
-			size = min(size, 2*cap(r.b))
+			size = min(size, cap(r.b)+cap(r.b)/4)
 		}
 		size = max(need, size)
 		if !r.attempt.reserveRows(size - cap(r.b)) {
