--- a/cmd/gateway/fakeengine_test.go
+++ b/cmd/gateway/fakeengine_test.go
@@ -1,6 +1,7 @@
 package main_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -39,6 +40,9 @@
 	return newEngineAt(t, l, handle)
 }
 
+// connectionKey is the key under which the context of a call to a fake engine holds the call's connection.
+type connectionKey struct{}
+
 // newEngineAt starts a fake engine on a listener.
 func newEngineAt(
 	t *testing.T, l net.Listener, handle func(call string, w http.ResponseWriter, q *http.Request) bool,
@@ -51,6 +55,9 @@
 	e.Server = httptest.NewUnstartedServer(e)
 	_ = e.Listener.Close()
 	e.Listener = l
+	e.Config.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		return context.WithValue(ctx, connectionKey{}, c)
+	}
 	e.Start()
 	t.Cleanup(func() {
 		e.CloseClientConnections()
