Look for a stall since the start of an attempt before its query is sent

Cause (suspected, not proven): AwaitInput counted a stall for 10 ms only, and waited for 10 ms at most; beside load the attempt was scheduled later.

--- a/cmd/gateway/server.go
+++ b/cmd/gateway/server.go
@@ -160,7 +160,7 @@
 		Reuse:          reuse,
 		Results:        s.memory.results,
 		FreeResults:    func() { s.listener.CloseSlowReader() },
-		AwaitInput:     func() { s.listener.AwaitInput() },
+		AwaitInput:     func(began time.Time) { s.listener.AwaitInput(began) },
 	}, s.dispatcher)
 	s.listener, err = mysql.New(mysql.Options{
 		Names:       platform.Names,
--- a/internal/engine/attempt.go
+++ b/internal/engine/attempt.go
@@ -204,7 +204,7 @@
 		a.unconfirmed = a.conn
 	}
 	if a.client.options.AwaitInput != nil {
-		a.client.options.AwaitInput()
+		a.client.options.AwaitInput(a.startedAt)
 	}
 	// While the connection was opened, the engine may have begun to drain, the client may have disconnected, or the
 	// deadline or notAfter (the end of the deduplication window) may have passed. Where queries may not be deleted, the
