--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -38,7 +38,8 @@
 	Counters       *invariant.Counters
 	Results        *membudget.Budget // memory for the rows of all results; nil: unlimited
 	FreeResults    func()            // called while there is no memory for rows; nil: nothing
-	// AwaitInput is called before a query is sent, with the start of the attempt: handles the input of clients. nil: nothing
+	// AwaitInput is called before a query is sent, with the start of the attempt. It waits until the input of clients
+	// has been handled. nil: nothing
 	AwaitInput func(began time.Time)
 }
 
