Count refused packets in one place, and keep a packet's start where it is discarded

Left behind when refusals ceased to be paced: each step still returned a count that nothing read, and the start of a discarded packet was copied in two places. No change of behaviour. internal/mysql passes with the race detector and its recordings; make lint passes.

--- a/internal/mysql/input.go
+++ b/internal/mysql/input.go
@@ -57,7 +57,7 @@
 	reserved  int              // guarded by mu; bytes reserved for payload
 	missing   int              // guarded by mu; payload bytes that have not arrived; 0: no packet has begun
 	queued    int              // guarded by mu; size of the commands that waited after the latest delivery
-	refused   discarded        // guarded by mu; since no command waited
+	refused   refusals         // guarded by mu; since no command waited
 	refusing  bool             // guarded by mu; the current packet is refused, and that has not been delivered
 	start     []byte           // guarded by mu; the first bytes of a packet while it is refused
 	begunAt   time.Time        // guarded by mu; when the first byte of the payload was due
@@ -65,11 +65,13 @@
 	closed    bool             // guarded by mu; all input is discarded
 }
 
+// refusals counts refused packets and the bytes that were discarded of them.
+type refusals struct{ packets, bytes int }
+
 // discarded is what a part of the input was that was not kept.
 type discarded struct {
-	bytes    int
-	refusals int  // packets
-	flooded  bool // so much that the input has ended
+	bytes   int
+	flooded bool // so much that the input has ended
 }
 
 // receive processes bytes of the client, which may have arrived at the given time already. queued is the size of the
@@ -79,22 +81,21 @@
 	defer in.mu.Unlock()
 	in.arrived = arrived
 	if in.queued = queued; queued == 0 {
-		in.refused = discarded{}
+		in.refused = refusals{}
 	}
 	for len(b) > 0 && !in.closed {
 		if in.headerLen < headerSize {
 			n := copy(in.header[in.headerLen:], b)
 			in.headerLen += n
 			if b = b[n:]; in.headerLen == headerSize {
-				d.refusals += in.begin()
+				in.begin()
 			}
 			continue
 		}
 		n := min(len(b), in.missing)
 		if in.payload != nil && !in.keep(b[:n]) {
-			in.start = append(in.start[:0], in.payload[:min(len(in.payload), refusalStartBytes)]...)
 			in.discard()
-			d.refusals += in.refuse()
+			in.refuse()
 		}
 		if in.payload == nil {
 			d.bytes += n
@@ -109,7 +110,7 @@
 		if in.missing == 0 {
 			in.complete()
 		}
-		if in.refused.refusals > maxRefusals || in.refused.bytes > maxRefusedBytes {
+		if in.refused.packets > maxRefusals || in.refused.bytes > maxRefusedBytes {
 			in.end(fatalInput{errTooManyConnections, "too many commands at once", "too many commands at once"})
 			d.flooded = true
 		}
@@ -135,13 +136,13 @@
 	in.headerLen, in.payload, in.small, in.reserved = 0, nil, nil, 0
 }
 
-// begin starts a packet whose header is complete. It returns 1 if the packet is refused, else 0.
-func (in *input) begin() (refusals int) {
+// begin starts a packet whose header is complete, or refuses it.
+func (in *input) begin() {
 	in.missing, in.begunAt = packetSize(in.header[:]), in.arrived
 	if in.missing == 0 || in.missing > maxPacketBytes {
 		reason := fmt.Sprintf("packet of %d bytes", in.missing)
 		in.end(fatalInput{errPacketTooLarge, "packet size is out of bounds", reason})
-		return 0
+		return
 	}
 	first := min(in.missing, sessionAllowance)
 	needed := 0
@@ -150,7 +151,8 @@
 	}
 	if needed > 0 && (in.queued+in.missing+commandOverhead > maxPipelinedBytes || !in.reserve(needed)) {
 		in.start = in.start[:0]
-		return in.refuse()
+		in.refuse()
+		return
 	}
 	in.reserved = needed
 	if in.queued == 0 && in.missing <= len(smallPayload{}) {
@@ -159,7 +161,6 @@
 	} else {
 		in.payload = make([]byte, 0, first)
 	}
-	return 0
 }
 
 // keep appends bytes to the payload. It returns false if there is no memory for them.
@@ -186,8 +187,10 @@
 	return in.budget.TryReserve(n) || (in.makeRoom() && in.budget.TryReserve(n))
 }
 
-// discard frees the payload of the current packet. The rest of the packet is discarded as it arrives.
+// discard frees the payload of the current packet, except for its start. The rest of the packet is discarded as it
+// arrives.
 func (in *input) discard() {
+	in.start = append(in.start[:0], in.payload[:min(len(in.payload), refusalStartBytes)]...)
 	in.budget.Release(in.reserved)
 	if in.small != nil {
 		smallPayloads.Put(in.small)
@@ -195,11 +198,10 @@
 	in.payload, in.small, in.reserved = nil, nil, 0
 }
 
-// refuse refuses the current packet, whose payload is discarded. It returns the number of packets, 1.
-func (in *input) refuse() int {
+// refuse refuses the current packet, whose payload is discarded.
+func (in *input) refuse() {
 	in.refusing = true
-	in.refused.refusals++
-	return 1
+	in.refused.packets++
 }
 
 // deliverRefusal delivers the command for a refused packet, once its start shows how much time it has.
@@ -239,7 +241,6 @@
 	if in.reserved == 0 || !in.begunAt.Before(begunBefore) {
 		return command{}, false
 	}
-	in.start = append(in.start[:0], in.payload[:min(len(in.payload), refusalStartBytes)]...)
 	in.discard()
 	return in.refusal(), true
 }
