Record the ID of an executed request without hashing its statement again

The dispatcher hashed class and statement, up to 256 KB, a second time at the end of each request that may have run, though only the ID is looked up.

--- a/internal/dispatch/recent_ids.go
+++ b/internal/dispatch/recent_ids.go
@@ -36,9 +36,7 @@
 // add records the ID of a request. It returns false if the ID was recently used with another class or statement. It
 // returns true for a repetition of the same request: clients resend a request whose connection was closed.
 func (ids *recentIDs) add(x *exchange.Exchange) bool {
-	if time.Since(ids.currentSince) > idRetention || len(ids.current) >= ids.limit {
-		ids.previous, ids.current, ids.currentSince = ids.current, map[uint64]uint64{}, time.Now()
-	}
+	ids.rotate()
 	var h maphash.Hash
 	h.SetSeed(ids.seed)
 	_, _ = h.WriteString(x.ClassName)
@@ -52,6 +50,19 @@
 	return true
 }
 
+// record records an ID without its statement, for contains.
+func (ids *recentIDs) record(id string) {
+	ids.rotate()
+	ids.current[ids.key(id)] = 0
+}
+
+// rotate begins a new generation if the current one is too old or full.
+func (ids *recentIDs) rotate() {
+	if time.Since(ids.currentSince) > idRetention || len(ids.current) >= ids.limit {
+		ids.previous, ids.current, ids.currentSince = ids.current, map[uint64]uint64{}, time.Now()
+	}
+}
+
 // contains reports whether the ID was recently recorded.
 func (ids *recentIDs) contains(id string) bool {
 	_, ok := ids.lookup(id)
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -147,7 +147,7 @@
 		return
 	}
 	if !r.mayHaveRunSince.IsZero() {
-		d.executed.add(r.exchange)
+		d.executed.record(r.exchange.ID)
 	}
 	r.deadline.Stop()
 	delete(d.open, r.exchange.ID)
