Accept no more connections than there are descriptors for

Operators see: while more clients connect than may be served, the process holds more descriptors than its limit, or takes those that engines need.

Cause: netpoll's loop accepts all connections that wait, and sessions beyond the limit are chosen and closed afterwards, by other goroutines: a limit that is checked after the resource is taken. netpoll has no way to pause accepting but an error, after which it waits for up to 1 s.

Change: the server accepts connections itself. Those that are open, also while they are being closed, take a slot each; without a slot, connections wait in the kernel's queue. A connection counts as pending until it is registered, so that a shutdown can't miss it. Failed accepts are counted (accepts_failed) and logged.

--- a/cmd/gateway/server.go
+++ b/cmd/gateway/server.go
@@ -162,7 +162,7 @@
 		FreeResults:    func() { s.listener.CloseSlowReader() },
 		AwaitInput:     func(began time.Time) { s.listener.AwaitInput(began) },
 	}, s.dispatcher)
-	s.listener, err = mysql.New(mysql.Options{
+	s.listener = mysql.New(mysql.Options{
 		Names:       platform.Names,
 		MaxSessions: operators.Clients.SessionLimit(platform.Descriptors),
 		IdleTimeout: operators.Clients.IdleTimeout,
@@ -170,9 +170,6 @@
 		Counters:    counters,
 		Log:         log,
 	}, s.dispatcher)
-	if err != nil {
-		return nil, err
-	}
 	ctx, cancel := context.WithCancel(context.Background())
 	s.ctx = ctx
 	s.closers = append(s.closers, cancel)
--- a/internal/mysql/connection.go
+++ b/internal/mysql/connection.go
@@ -10,8 +10,9 @@
 	"syscall"
 	"time"
 
-	"github.com/cloudwego/netpoll"
 	"golang.org/x/sys/unix"
+
+	"beechcart/internal/unixio"
 )
 
 // readBufferBytes is the size of the buffers into which sockets are read. A buffer is in use only while its input is
@@ -26,6 +27,7 @@
 	raw    syscall.RawConn
 	fd     int32
 	remote net.Addr
+	closed func() // called once the descriptor is closed
 
 	consume   func(input []byte)    // receives the input, which is valid during the call
 	readOnce  func(fd uintptr) bool // readAvailable
@@ -44,21 +46,22 @@
 	drained atomic.Bool
 }
 
-// newConnection takes ownership of an accepted connection. consume is called for all input, during read.
-func newConnection(c netpoll.Conn, consume func(input []byte)) (*connection, error) {
-	fd := c.Fd()
-	if err := errors.Join(unix.SetNonblock(fd, true),
-		unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)); err != nil {
-		_ = unix.Close(fd)
-		return nil, err
-	}
-	file := os.NewFile(uintptr(fd), "client")
+// newConnection takes ownership of an accepted connection, also if it returns an error. consume is called for all
+// input, during read.
+func newConnection(socket acceptedSocket, consume func(input []byte)) (*connection, error) {
+	file := os.NewFile(uintptr(socket.fd), "client")
 	raw, err := file.SyscallConn()
+	if err == nil {
+		err = unix.SetsockoptInt(socket.fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
+	}
 	if err != nil {
 		_ = file.Close()
+		socket.closed()
 		return nil, err
 	}
-	conn := &connection{file: file, raw: raw, fd: int32(fd), remote: c.RemoteAddr(), consume: consume}
+	conn := &connection{
+		file: file, raw: raw, fd: int32(socket.fd), remote: socket.remote, closed: socket.closed, consume: consume,
+	}
 	conn.readOnce, conn.writeOnce = conn.readAvailable, conn.writeAvailable
 	return conn, nil
 }
@@ -77,7 +80,7 @@
 	defer c.receiving.Store(false)
 	buffer := readBuffers.Get().(*[readBufferBytes]byte)
 	defer readBuffers.Put(buffer)
-	n, err := ignoringInterrupts(func() (int, error) { return unix.Read(int(fd), buffer[:]) })
+	n, err := unixio.RetryInterrupted(func() (int, error) { return unix.Read(int(fd), buffer[:]) })
 	switch {
 	case errors.Is(err, unix.EAGAIN):
 		c.drained.Store(true)
@@ -129,7 +132,7 @@
 
 // writeAvailable writes as much as fits into the kernel's buffer.
 func (c *connection) writeAvailable(fd uintptr) bool {
-	n, err := ignoringInterrupts(func() (int, error) { return unix.Write(int(fd), c.unwritten) })
+	n, err := unixio.RetryInterrupted(func() (int, error) { return unix.Write(int(fd), c.unwritten) })
 	if c.writeError = err; errors.Is(err, unix.EAGAIN) {
 		c.writeError = nil
 	}
@@ -151,17 +154,13 @@
 	_ = c.raw.Control(func(fd uintptr) { _ = unix.Shutdown(int(fd), unix.SHUT_WR) })
 }
 
-// close closes the socket. It waits for the goroutines that read and write, and so must not be called during consume.
-func (c *connection) close() { _ = c.file.Close() }
+// close closes the socket. It waits for the goroutines that read and write, and so must not be called during consume. A
+// call returns at once while another one waits.
+func (c *connection) close() {
+	if err := c.file.Close(); !errors.Is(err, os.ErrClosed) {
+		c.closed()
+	}
+}
 
 // closeSoon closes the socket without waiting.
 func (c *connection) closeSoon() { go c.close() }
-
-// ignoringInterrupts repeats a system call until no signal interrupts it.
-func ignoringInterrupts(call func() (int, error)) (n int, err error) {
-	for {
-		if n, err = call(); !errors.Is(err, unix.EINTR) {
-			return n, err
-		}
-	}
-}
--- a/internal/mysql/limits.go
+++ b/internal/mysql/limits.go
@@ -14,6 +14,13 @@
 	maxDrainBytes     = 1 << 20   // input discarded after its end
 )
 
+// The connections that may be open beyond the limit of sessions, because they are being closed or have not been admitted
+// yet: a fraction of that limit, and a few.
+const (
+	closingDivisor = 16
+	minClosing     = 2
+)
+
 // Rates of all sessions together.
 const (
 	maxReadRate         = 64 << 20 // input of clients that fill a read buffer, in bytes a second
--- a/internal/mysql/recorded_test.go
+++ b/internal/mysql/recorded_test.go
@@ -81,10 +81,9 @@
 		{"name":"load","semantics":"non_idempotent"}],"tenants":[{"name":"north"},{"name":"south"}]}`))
 	require.NoError(t, err)
 	logged := make(logLines, 1000)
-	s, err := mysql.New(mysql.Options{
+	s := mysql.New(mysql.Options{
 		Names: names, MaxSessions: 100, Counters: &invariant.Counters{}, Log: slog.New(slog.NewTextHandler(logged, nil)),
 	}, handler)
-	require.NoError(t, err)
 	served := make(chan error, 1)
 	go func() { served <- s.Serve("127.0.0.1:0") }()
 	_, address, _ = strings.Cut(strings.TrimSpace(<-logged), "address=")
--- a/internal/mysql/server.go
+++ b/internal/mysql/server.go
@@ -10,8 +10,6 @@
 	"sync"
 	"time"
 
-	"github.com/cloudwego/netpoll"
-
 	"beechcart/internal/exchange"
 	"beechcart/internal/invariant"
 	"beechcart/internal/membudget"
@@ -38,17 +36,17 @@
 
 // Server accepts and serves client sessions on one listener.
 type Server struct {
-	options   Options
-	handler   RequestHandler
-	eventLoop netpoll.EventLoop
+	options Options
+	handler RequestHandler
 
 	mu                sync.Mutex
-	sessions          sessionList      // guarded by mu
-	listener          netpoll.Listener // guarded by mu; nil before Serve
-	stopping          bool             // guarded by mu; a session ends once it has answered all commands
-	malformedLoggedAt time.Time        // guarded by mu
-	refusedLoggedAt   time.Time        // guarded by mu
-	madeRoomAt        time.Time        // guarded by mu; the time of the last call of makeRoom that looked for memory
+	sessions          sessionList // guarded by mu
+	acceptor          *acceptor   // guarded by mu; nil before Serve
+	stopping          bool        // guarded by mu; a session ends once it has answered all commands
+	malformedLoggedAt time.Time   // guarded by mu
+	refusedLoggedAt   time.Time   // guarded by mu
+	acceptLoggedAt    time.Time   // guarded by mu
+	madeRoomAt        time.Time   // guarded by mu; the time of the last call of makeRoom that looked for memory
 
 	stall    stallDetector
 	reads    pacer // of clients that send more than fits into a read buffer
@@ -57,35 +55,30 @@
 }
 
 // New returns a server that hands requests to handler. Serve starts it.
-func New(options Options, handler RequestHandler) (*Server, error) {
+func New(options Options, handler RequestHandler) *Server {
 	if options.IdleTimeout == 0 {
 		options.IdleTimeout = defaultIdleTimeout
 	}
 	s := &Server{options: options, handler: handler, sessions: sessionList{byID: map[uint32]*session{}}}
 	s.stall.start = time.Now()
-	loop, err := netpoll.NewEventLoop(nil)
-	if err != nil {
-		return nil, fmt.Errorf("mysql: %w", err)
-	}
-	s.eventLoop = loop
-	return s, nil
+	return s
 }
 
 // Serve listens at the TCP address and serves sessions until Shutdown.
 func (s *Server) Serve(address string) error {
-	l, err := netpoll.CreateListener("tcp", address)
+	a, err := listen(address, s.options.MaxSessions+s.options.MaxSessions/closingDivisor+minClosing)
 	if err != nil {
 		return fmt.Errorf("mysql: %w", err)
 	}
 	s.mu.Lock()
-	s.listener = l
+	s.acceptor = a
 	s.mu.Unlock()
-	s.options.Log.Info("listening", "address", l.Addr().String())
+	s.options.Log.Info("listening", "address", a.address.String())
 	s.stall.tick()
 	stop := make(chan struct{})
 	defer close(stop)
 	go s.closeExpired(stop)
-	return s.eventLoop.Serve(&acceptor{Listener: l, accepted: s.accept})
+	return s.acceptConnections(a)
 }
 
 // Sessions returns the number of open sessions.
@@ -96,13 +89,13 @@
 }
 
 // accept registers a session for a connection as soon as it is accepted, and starts it.
-func (s *Server) accept(c netpoll.Conn) {
+func (s *Server) accept(socket acceptedSocket) {
 	ses := &session{server: s, phaseSince: time.Now()}
 	ses.input.budget, ses.input.makeRoom, ses.input.deliver = s.options.Input, s.makeRoom, ses.deliver
 	ses.serve = ses.serveInbox
 	var err error
-	if ses.conn, err = newConnection(c, ses.receive); err != nil {
-		s.options.Log.Warn("session not opened", "peer", c.RemoteAddr().String(), "error", err)
+	if ses.conn, err = newConnection(socket, ses.receive); err != nil {
+		s.options.Log.Warn("session not opened", "peer", socket.remote.String(), "error", err)
 		return
 	}
 	s.mu.Lock()
@@ -150,6 +143,15 @@
 	}
 }
 
+// countFailedAccept counts a connection that could not be accepted, and logs the error at most once per
+// inputLogInterval.
+func (s *Server) countFailedAccept(err error) {
+	s.options.Counters.Add("accepts_failed", 1)
+	if s.mayLog(&s.acceptLoggedAt) {
+		s.options.Log.Warn("connection not accepted", "error", err)
+	}
+}
+
 // mayLog reports whether a line may be logged again that was logged at the given time, which is guarded by mu.
 func (s *Server) mayLog(loggedAt *time.Time) bool {
 	s.mu.Lock()
--- a/internal/mysql/shutdown.go
+++ b/internal/mysql/shutdown.go
@@ -4,8 +4,6 @@
 	"context"
 	"errors"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
 // requiredIdleChecks is the number of consecutive checks that must find neither a pending connection nor a busy session
@@ -14,10 +12,9 @@
 const requiredIdleChecks = 2
 
 // Shutdown closes each session as soon as it has no open request, a busy one right behind an answer, and then the
-// listener. When ctx ends, Shutdown closes
-// everything that is still open and returns the error of ctx. The listener is closed last, once the accept queue is
-// empty: clients cancel queries on new connections, and a request that was written to a connection in the accept queue
-// counts as accepted.
+// listener. When ctx ends, Shutdown closes everything that is still open and returns the error of ctx. The listener is
+// closed last, once the accept queue is empty: clients cancel queries on new connections, and a request that was written
+// to a connection in the accept queue counts as accepted.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.mu.Lock()
 	s.stopping = true
@@ -30,11 +27,11 @@
 		}
 		select {
 		case <-ctx.Done():
-			return errors.Join(ctx.Err(), s.closeAll(ctx))
+			return errors.Join(ctx.Err(), s.closeAll())
 		case <-tick.C:
 		}
 	}
-	return s.closeAll(ctx)
+	return s.closeAll()
 }
 
 // checkIdle closes idle sessions and reports whether there is neither a pending connection nor a busy session.
@@ -50,9 +47,10 @@
 
 // closeAll unregisters the remaining sessions, so that no further request is accepted, and closes them and the
 // listener.
-func (s *Server) closeAll(ctx context.Context) error {
+func (s *Server) closeAll() error {
 	var left []*session
 	s.mu.Lock()
+	a := s.acceptor
 	for _, ses := range s.sessions.byID {
 		s.sessions.hangUp(ses)
 		left = append(left, ses)
@@ -61,20 +59,18 @@
 	for _, ses := range left {
 		ses.conn.closeSoon()
 	}
-	return s.eventLoop.Shutdown(ctx)
+	if a == nil {
+		return nil
+	}
+	return a.close()
 }
 
-// acceptPending reports whether a connection is in the kernel's accept queue.
+// acceptPending reports whether a connection waits to be accepted or registered.
 func (s *Server) acceptPending() bool {
 	s.mu.Lock()
-	l := s.listener
+	a := s.acceptor
 	s.mu.Unlock()
-	if l == nil {
-		return false
-	}
-	fds := []unix.PollFd{{Fd: int32(l.Fd()), Events: unix.POLLIN}}
-	n, err := unix.Poll(fds, 0)
-	return err == nil && n > 0 && fds[0].Revents&unix.POLLIN != 0
+	return a != nil && a.pending()
 }
 
 // closeIdle closes the sessions that two consecutive calls found idle, that is, with neither an open request nor unread
