Read engines' responses only as far as there is memory for them

Operators see: while engines send responses without an end to many requests at once, the process passes its memory limit.

Cause: netpoll's poller reads all that comes on every connection, on the one processor, before the goroutine runs that checks the size. A small receive buffer bounds what is read at once from one connection, not the sum: the poller does not give way while there is input. It cannot be paused.

Change: a connection to an engine reads its socket only when a response is due, into a buffer of 8 KB that it has only while there is input. Larger responses reserve a sixteenth of the process's memory in sum; without memory a call counts as lost and is repeated. Input that came in time is still read when the deadline passed while the process was not scheduled. Logged as response_kb.

--- a/cmd/gateway/connect_storm_test.go
+++ b/cmd/gateway/connect_storm_test.go
@@ -17,17 +17,19 @@
 // connect than it may serve.
 func TestConnectStormStaysWithinDescriptors(t *testing.T) {
 	for _, limits := range []platformLimits{{32, 1024}, {32, 256}, {48, 128}} {
-		for _, paused := range []bool{false, true} {
-			t.Run(fmt.Sprintf("%d descriptors, paused %t", limits.descriptors, paused), func(t *testing.T) {
-				testConnectStorm(t, limits, paused)
+		for name, pause := range map[string]func(*testGateway) (resume func()){
+			"running": func(*testGateway) func() { return func() {} }, "paused": (*testGateway).pause,
+		} {
+			t.Run(fmt.Sprintf("%d descriptors, %s", limits.descriptors, name), func(t *testing.T) {
+				testConnectStorm(t, limits, pause)
 			})
 		}
 	}
 }
 
-// testConnectStorm connects as many clients at once as the process may hold descriptors, again and again. If paused is
-// true, the process does not run meanwhile, so that all of them lie in its accept queue.
-func testConnectStorm(t *testing.T, limits platformLimits, paused bool) {
+// testConnectStorm connects as many clients at once as the process may hold descriptors, again and again. pause is
+// called before, and resume afterwards: while the process does not run, all of them lie in its accept queue.
+func testConnectStorm(t *testing.T, limits platformLimits, pause func(*testGateway) (resume func())) {
 	t.Helper()
 	const ordinaryClients, waves = 8, 4
 	r := startPlatform(t, limits, newEngine(t, nil))
@@ -36,10 +38,7 @@
 	open := r.watchDescriptors(stop)
 	var connected sync.WaitGroup
 	for range waves {
-		resume := func() {}
-		if paused {
-			resume = r.pause()
-		}
+		resume := pause(r)
 		for range limits.descriptors {
 			if conn, err := net.DialTimeout("tcp", r.addr, time.Second); err == nil {
 				connected.Go(func() {
--- a/cmd/gateway/memory.go
+++ b/cmd/gateway/memory.go
@@ -27,6 +27,7 @@
 	limitMB         int
 	requests        *membudget.Budget
 	results         *membudget.Budget
+	responses       *membudget.Budget
 	sessions        func() int
 	log             *slog.Logger
 	warningsWritten int          // of memoryWarningPercents
@@ -65,6 +66,7 @@
 	return []any{
 		"peak_mb", m.measurePeak(), "limit_mb", m.limitMB, "request_kb", m.requests.Used() >> 10,
 		"result_kb", m.results.Used() >> 10, "sessions", m.sessions(), "goroutines", runtime.NumGoroutine(),
+		"response_kb", m.responses.Used() >> 10,
 	}
 }
 
--- a/cmd/gateway/memory_test.go
+++ b/cmd/gateway/memory_test.go
@@ -44,8 +44,8 @@
 	}
 }
 
-// Guards against a process that is killed for memory because of answers that never end: netpoll reads them into memory
-// until the goroutine that checks their size gets the processor.
+// Guards against a process that is killed for memory because of answers that never end, which it reads into memory
+// faster than it checks their size.
 func TestEndlessAnswersStayWithinMemory(t *testing.T) {
 	e := newEngine(t, func(call string, w http.ResponseWriter, _ *http.Request) bool {
 		start := "HTTP/1.1 200 OK\r\nX-Batches: 1\r\n"
--- a/cmd/gateway/server.go
+++ b/cmd/gateway/server.go
@@ -47,10 +47,12 @@
 	counterLogInterval = 30 * time.Second
 )
 
-// Divisors that set the shares of the process's memory for large requests of clients, and for rows of results.
+// Divisors that set the shares of the process's memory for large requests of clients, for rows of results, and for
+// large responses of engines.
 const (
-	requestMemoryDivisor = 8
-	resultMemoryDivisor  = 8
+	requestMemoryDivisor  = 8
+	resultMemoryDivisor   = 8
+	responseMemoryDivisor = 16
 )
 
 // server holds the components of a front end, from the start to the shutdown of the process.
@@ -139,11 +141,12 @@
 		return nil, fmt.Errorf("configuration: %w", err)
 	}
 	s.memory = &memoryMonitor{
-		limitMB:  platform.MemoryMB,
-		requests: membudget.New(platform.MemoryMB * bytesPerMegabyte / requestMemoryDivisor),
-		results:  membudget.New(platform.MemoryMB * bytesPerMegabyte / resultMemoryDivisor),
-		sessions: func() int { return s.listener.Sessions() },
-		log:      log,
+		limitMB:   platform.MemoryMB,
+		requests:  membudget.New(platform.MemoryMB * bytesPerMegabyte / requestMemoryDivisor),
+		results:   membudget.New(platform.MemoryMB * bytesPerMegabyte / resultMemoryDivisor),
+		responses: membudget.New(platform.MemoryMB * bytesPerMegabyte / responseMemoryDivisor),
+		sessions:  func() int { return s.listener.Sessions() },
+		log:       log,
 	}
 	s.dispatcher = dispatch.New(controller, platform.Admission.Classes, counters, log)
 	reuse, err := operators.ReusePolicy(platform.HandshakePrice, platform.Descriptors)
@@ -159,6 +162,7 @@
 		MayDelete:      platform.Admission.CancellationAllowed,
 		Reuse:          reuse,
 		Results:        s.memory.results,
+		Responses:      s.memory.responses,
 		FreeResults:    func() { s.listener.CloseSlowReader() },
 		AwaitInput:     func(began time.Time) { s.listener.AwaitInput(began) },
 	}, s.dispatcher)
--- a/internal/engine/attempt.go
+++ b/internal/engine/attempt.go
@@ -159,7 +159,7 @@
 func (a *attempt) sendStatement(transfer time.Duration) error {
 	if transfer > 0 {
 		left := max(time.Until(a.deadline), minTimeLeft)
-		_ = a.conn.raw.SetWriteTimeout(min(writeTimeout+transfer, left))
+		a.conn.writeTimeout = min(writeTimeout+transfer, left)
 	}
 	return a.conn.send(a.exchange.Statement)
 }
--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -49,7 +49,7 @@
 func (a *attempt) readResponse(transfer time.Duration, check func(response) error) (response, error) {
 	a.lastCallAt = time.Now()
 	r, err := a.conn.receiveTimed(a.responseTimer(transfer))
-	if err != nil && isTimeout(err) && a.conn.raw.Reader().Len() > 0 {
+	if err != nil && isTimeout(err) && a.conn.stream.inputSize() > 0 {
 		a.responsePause = min(2*a.responsePause, maxResponsePause)
 	}
 	if err != nil && a.conn.holdsRow() {
--- a/internal/engine/changelog.go
+++ b/internal/engine/changelog.go
@@ -57,7 +57,7 @@
 		return err
 	}
 	w.timeouts.DialSucceeded(time.Since(began))
-	conn.bodyLimit = maxChangeLogBytes
+	conn.allowBody(maxChangeLogBytes)
 	conn.limitReceiveBuffer(changeLogReceiveBuffer)
 	defer conn.close()
 	defer context.AfterFunc(ctx, conn.close)()
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -37,6 +37,7 @@
 	Reuse          *reuse.Policy // nil: connections are not reused
 	Counters       *invariant.Counters
 	Results        *membudget.Budget // memory for the rows of all results; nil: unlimited
+	Responses      *membudget.Budget // memory for responses over inputBufferBytes while they are read; nil: unlimited
 	FreeResults    func()            // called while there is no memory for rows; nil: nothing
 	// AwaitInput is called before a query is sent, with the start of the attempt. It waits until the input of clients
 	// has been handled. nil: nothing
@@ -69,7 +70,9 @@
 func New(options Options, sink Sink) *Client {
 	return &Client{
 		options: options, sink: sink, instances: map[uint32]*instance{}, inFlight: map[attemptKey]*attempt{},
-		sockets:  &sockets{limit: options.Sockets, reserve: options.Sockets / socketReserveDivisor},
+		sockets: &sockets{
+			limit: options.Sockets, reserve: options.Sockets / socketReserveDivisor, input: options.Responses,
+		},
 		idlePool: newIdlePool(options.Reuse, func(counter string) { options.Counters.Add(counter, 1) }),
 	}
 }
--- a/internal/engine/idle_pool.go
+++ b/internal/engine/idle_pool.go
@@ -7,8 +7,8 @@
 	"beechcart/decision/reuse"
 )
 
-// checkInterval is the longest interval between two checks of the idle connections for input. The checks bound the
-// memory use: netpoll reads into memory everything that an engine sends, even without a pending read.
+// checkInterval is the longest interval between two checks of the idle connections for input, or for their end. The
+// socket of such a connection is free for others after the check.
 const checkInterval = 25 * time.Millisecond
 
 // expiryChecksPerIdleTime is how often idle connections are checked for expiry within reuse.Policy's MaxIdleTime.
--- a/internal/engine/idle_pool_test.go
+++ b/internal/engine/idle_pool_test.go
@@ -241,8 +241,7 @@
 	assert.Equal(t, admission.NotSent, (<-sink).Status, "a draining engine must not get a query")
 }
 
-// netpoll reads into memory everything that an engine sends on an idle connection, so an idle connection with input
-// must be closed before the input exceeds the memory limit.
+// An idle connection on which an engine sends without end must be closed before the input fills the memory.
 func TestFloodedIdleConnectionIsClosed(t *testing.T) {
 	begin, sent := make(chan struct{}), make(chan int, 1)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/engine/sockets.go
+++ b/internal/engine/sockets.go
@@ -9,7 +9,7 @@
 	"syscall"
 	"time"
 
-	"github.com/cloudwego/netpoll"
+	"beechcart/internal/membudget"
 )
 
 const (
@@ -45,6 +45,7 @@
 	mu             sync.Mutex
 	used           int // guarded by mu
 	limit, reserve int
+	input          *membudget.Budget // for large responses on all connections; nil: unlimited
 }
 
 // acquire reserves a socket. acquire returns false if no socket is free for the given use.
@@ -78,10 +79,9 @@
 		return nil, errNoSocket
 	}
 	for dials := 1; ; dials++ {
-		raw, err := connect(ctx, address, timeout)
+		input, err := connect(ctx, address, timeout, s.input)
 		if err == nil {
-			_ = raw.SetWriteTimeout(writeTimeout)
-			return &connection{raw: raw, sockets: s}, nil
+			return &connection{stream: input, sockets: s, writeTimeout: writeTimeout}, nil
 		}
 		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
 			err, dials = errNoSocket, maxDials
@@ -93,23 +93,27 @@
 	}
 }
 
+// dialer opens connections without a keep-alive: every call has a time limit.
+var dialer = net.Dialer{KeepAlive: -1}
+
 // connect opens a TCP connection. The address of an engine is an IP address; parsing the address here avoids a name
 // lookup, which would cost more than the connect.
-func connect(ctx context.Context, address string, timeout time.Duration) (netpoll.Connection, error) {
-	parsed, err := netip.ParseAddrPort(address)
-	if err != nil {
-		return netpoll.DialConnection("tcp", address, timeout)
-	}
+func connect(
+	ctx context.Context, address string, timeout time.Duration, input *membudget.Budget,
+) (*stream, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	ip := parsed.Addr()
-	conn, err := netpoll.DialTCP(ctx, "tcp", nil, &netpoll.TCPAddr{
-		TCPAddr: net.TCPAddr{IP: ip.AsSlice(), Port: int(parsed.Port()), Zone: ip.Zone()},
-	})
+	var conn net.Conn
+	parsed, err := netip.ParseAddrPort(address)
+	if err == nil {
+		conn, err = dialer.DialTCP(ctx, "tcp", netip.AddrPort{}, parsed)
+	} else {
+		conn, err = dialer.DialContext(ctx, "tcp", address)
+	}
 	if err != nil {
-		return nil, err // returning conn would turn a nil *TCPConnection into a non-nil netpoll.Connection
+		return nil, err
 	}
-	return conn, nil
+	return newStream(conn.(*net.TCPConn), input)
 }
 
 func isTimeout(err error) bool {
--- a/internal/engine/truncation.go
+++ b/internal/engine/truncation.go
@@ -77,9 +77,10 @@
 // partialResponseTimeout.
 func (a *attempt) awaitSurplusLine(r response) (response, error) {
 	deadline := time.Now().Add(partialResponseTimeout)
-	for classifySurplus(r.surplus) == partialRow && a.conn.awaitInput(deadline) {
+	for classifySurplus(r.surplus) == partialRow {
+		arrived := a.conn.awaitInput(deadline)
 		var err error
-		if r, err = a.conn.receive(deadline); err != nil {
+		if r, err = a.conn.parse(); err != nil || !arrived {
 			return r, err
 		}
 	}
@@ -87,22 +88,12 @@
 }
 
 // awaitInput waits until the connection has received more bytes than it holds now. The result is false if there are
-// none before the deadline, or if the connection holds as many bytes as a response may have.
+// none before the deadline, or if the connection holds as many bytes as a response may have. Slices of a response are
+// no longer valid.
 func (c *connection) awaitInput(deadline time.Time) bool {
-	reader := c.raw.Reader()
-	left := time.Until(deadline)
-	if left <= 0 || reader.Len() >= c.maxResponseBytes() {
-		return false
-	}
-	_ = c.raw.SetReadTimeout(left)
-	_, err := reader.Peek(reader.Len() + 1)
-	return err == nil
+	return c.stream.inputSize() < c.maxResponseBytes() && c.stream.fill(c.maxResponseBytes(), deadline) == nil
 }
 
 // holdsRow reports whether the bytes that no response has used yet begin with a whole row. The caller must have called
 // reusable since the last response, or have got no response.
-func (c *connection) holdsRow() bool {
-	reader := c.raw.Reader()
-	buf, err := reader.Peek(min(reader.Len(), c.maxResponseBytes()))
-	return err == nil && classifySurplus(buf) == wholeRow
-}
+func (c *connection) holdsRow() bool { return classifySurplus(c.stream.input()) == wholeRow }
--- a/internal/mysql/limits.go
+++ b/internal/mysql/limits.go
@@ -14,8 +14,8 @@
 	maxDrainBytes     = 1 << 20   // input discarded after its end
 )
 
-// The connections that may be open beyond the limit of sessions, because they are being closed or have not been admitted
-// yet: a fraction of that limit, and a few.
+// The connections that may be open beyond the limit of sessions, because they are being closed or have not been
+// admitted yet: a fraction of that limit, and a few.
 const (
 	closingDivisor = 16
 	minClosing     = 2
--- a/internal/mysql/shutdown.go
+++ b/internal/mysql/shutdown.go
@@ -13,8 +13,8 @@
 
 // Shutdown closes each session as soon as it has no open request, a busy one right behind an answer, and then the
 // listener. When ctx ends, Shutdown closes everything that is still open and returns the error of ctx. The listener is
-// closed last, once the accept queue is empty: clients cancel queries on new connections, and a request that was written
-// to a connection in the accept queue counts as accepted.
+// closed last, once the accept queue is empty: clients cancel queries on new connections, and a request that was
+// written to a connection in the accept queue counts as accepted.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.mu.Lock()
 	s.stopping = true
