Do not blame engines for a wait of this front end for memory

Cause: the time that a result waits for memory counted as the engine's latency, and a result without memory as the engine's error. The controller took the engine for slow, and shed load.

Change: the wait is taken off the latency, and a result that is given up for lack of memory is no evidence on its engine (EngineAlive, as for a lost connection).

--- a/admission/events.go
+++ b/admission/events.go
@@ -116,7 +116,7 @@
 		Status      Status
 		Latency     time.Duration
 		Closed      bool          // the request has its final answer
-		EngineAlive bool          // for Reset: only the connection was lost; the engine has answered since
+		EngineAlive bool          // the outcome is no evidence on the engine: only a connection or memory was lacking
 		Work        time.Duration // work done, summed over all threads; 0: not reported
 		MemoryMB    float64       // memory used; 0: not reported
 		Report      *Report       // load report; nil: none
--- a/internal/engine/attempt.go
+++ b/internal/engine/attempt.go
@@ -54,6 +54,7 @@
 	unconfirmed   *connection
 	responsePause time.Duration // how long a response that has begun may pause; grows with each timeout
 	reservedRows  int           // memory of the rows of the latest complete result
+	memoryWait    time.Duration // time spent waiting for memory for rows
 	suspect       *suspectPage  // the latest page that may be truncated; nil: none
 	rereads       int           // how often the result was read again because an earlier page was truncated
 }
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -148,7 +148,7 @@
 		delete(c.inFlight, key)
 		c.mu.Unlock()
 		a.outcome.ID, a.outcome.Attempt, a.outcome.Engine = x.ID, number, engine
-		a.outcome.Status, a.outcome.Latency = status, time.Since(a.startedAt)
+		a.outcome.Status, a.outcome.Latency = status, time.Since(a.startedAt)-a.memoryWait
 		c.sink.AttemptDone(x, a.outcome, rows)
 	}()
 }
--- a/internal/engine/row_buffer.go
+++ b/internal/engine/row_buffer.go
@@ -47,14 +47,17 @@
 }
 
 // reserveRows reserves memory for rows. If there is none, it waits until others have freed some, for at most
-// resultMemoryTimeout and until the deadline.
+// resultMemoryTimeout and until the deadline. The lack of memory is no evidence on the engine: the wait does not count
+// as the engine's latency, nor its result as the engine's error.
 func (a *attempt) reserveRows(n int) bool {
 	options := &a.client.options
 	if options.Results.TryReserve(n) {
 		return true
 	}
 	options.Counters.Add("result_waited", 1)
-	end := time.Now().Add(resultMemoryTimeout)
+	began := time.Now()
+	defer func() { a.memoryWait += time.Since(began) }()
+	end := began.Add(resultMemoryTimeout)
 	if a.deadline.Before(end) {
 		end = a.deadline
 	}
@@ -68,6 +71,7 @@
 		}
 	}
 	options.Counters.Add("result_refused", 1)
+	a.outcome.EngineAlive = true
 	return false
 }
 
