Let small results pass while large ones wait for memory

Callers saw: an ordinary request waited for up to 1 s, or was given up, while the memory for rows was held by clients that hardly read large results.

Cause: each result reserved its memory from the first byte, however small.

Change: the first 4 KB of a result need no reserved memory, as with requests; there is at most one such result for each session.

--- a/internal/engine/result.go
+++ b/internal/engine/result.go
@@ -49,7 +49,7 @@
 			return admission.Errored, nil, nil
 		}
 	}
-	a.reservedRows = cap(rows.b)
+	a.reservedRows = rows.reserved
 	return admission.OK, rows.b, nil
 }
 
--- a/internal/engine/row_buffer.go
+++ b/internal/engine/row_buffer.go
@@ -7,16 +7,20 @@
 )
 
 const (
+	// rowAllowance is the size of a result, in bytes, for which no memory needs to be reserved. Small results must not
+	// wait for clients that hardly read large ones. Each session has one such result at most.
+	rowAllowance = 4 << 10
 	// resultMemoryTimeout is how long a result waits for memory.
 	resultMemoryTimeout = time.Second
 	// resultMemoryInterval is the time between two tries.
 	resultMemoryInterval = 5 * time.Millisecond
 )
 
-// rowBuffer collects the rows of a result in memory that is reserved from the client's budget.
+// rowBuffer collects the rows of a result. Memory over rowAllowance is reserved from the client's budget.
 type rowBuffer struct {
-	attempt *attempt
-	b       []byte
+	attempt  *attempt
+	b        []byte
+	reserved int
 }
 
 // append appends the rows of a page. If the buffer is too small, it grows by a quarter, or as needed, to at most size
@@ -27,9 +31,12 @@
 			size = min(size, cap(r.b)+cap(r.b)/4)
 		}
 		size = max(need, size)
-		if !r.attempt.reserveRows(size - cap(r.b)) {
-			r.discard()
-			return false
+		if more := size - rowAllowance - r.reserved; more > 0 {
+			if !r.attempt.reserveRows(more) {
+				r.discard()
+				return false
+			}
+			r.reserved += more
 		}
 		grown := make([]byte, len(r.b), size)
 		copy(grown, r.b)
@@ -42,8 +49,8 @@
 
 // discard frees the buffer.
 func (r *rowBuffer) discard() {
-	r.attempt.client.options.Results.Release(cap(r.b))
-	r.b = nil
+	r.attempt.client.options.Results.Release(r.reserved)
+	r.b, r.reserved = nil, 0
 }
 
 // reserveRows reserves memory for rows. If there is none, it waits until others have freed some, for at most
--- a/internal/engine/row_buffer_test.go
+++ b/internal/engine/row_buffer_test.go
@@ -46,3 +46,12 @@
 	assert.True(t, outcome.EngineAlive)
 	assert.Less(t, outcome.Latency, resultMemoryTimeout/2)
 }
+
+// A small result must not wait for the memory that large results hold.
+func TestSmallResultNeedsNoRowMemory(t *testing.T) {
+	sink, _ := startWithoutRowMemory(t, bothRows)
+	began := time.Now()
+	outcome := <-sink
+	assert.Equal(t, admission.OK, outcome.Status)
+	assert.Less(t, time.Since(began), resultMemoryTimeout/2)
+}
