Give the test of unread results engines that its crowd does not fill

The test had one engine for ordinary clients and for the crowd, whose 100 clients ask for results of 900 KB again and again: valid requests, which filled the engine. That was no fault of the memory, which the test is about.

Four engines, as in TestCrowdStaysWithinMemory.

--- a/cmd/gateway/crowd_test.go
+++ b/cmd/gateway/crowd_test.go
@@ -361,11 +361,10 @@
 // The process must stay within its memory, and serve ordinary clients, while many clients hardly read their results,
 // which are larger than the kernel's buffers.
 func TestUnreadResultsStayWithinMemory(t *testing.T) {
-	const ordinaryClients, crowdClients, longResultPages = 8, 100, 150
+	const ordinaryClients, crowdClients, longResultPages, engineCount = 8, 100, 150, 4
 	var long sync.Map // IDs of the requests for long results
 	pages := resultPages(longResultPages)
-	e := newEngine(t, nil)
-	e.handle = func(call string, w http.ResponseWriter, q *http.Request) bool {
+	handle := func(call string, w http.ResponseWriter, q *http.Request) bool {
 		id := q.Header.Get("X-Txn")
 		if call == "POST" && q.Header.Get("X-Lane") == "load" {
 			long.Store(id, true)
@@ -384,9 +383,13 @@
 		_, _ = io.WriteString(w, pages[page])
 		return true
 	}
+	engines := make([]*engine, engineCount) // so that the requests of the crowd do not fill them
+	for i := range engines {
+		engines[i] = newEngine(t, handle)
+	}
 	limits := platformLimits{memoryMB: 32, descriptors: 1024}
 	r := startPlatformWith(t, limits, strings.ReplaceAll(defaultPlatformSettings, `"holds_tables":[false,true]`,
-		`"holds_tables":[false,false]`), e)
+		`"holds_tables":[false,false]`), engines...)
 	c := &crowd{r: r, stop: make(chan struct{})}
 	s := serveOrdinary(t, r, ordinaryClients, c.stop, func() string { return statement("lookup", 2500) })
 	c.join(crowdClients, func(c *crowd, conn net.Conn) {
