Disconnect before the first lost attempt ends, not the last one, in the test of it

It took the latest of the last calls of all requests for that of each one; beside load they lie up to 0.13 s apart, so an attempt had ended and its request had been served by the other engine, as it should be.

The clients now disconnect 30 ms before the 0.1 s in which the first of their attempts ends. A run in which that time has passed already is void and repeated, as one that is short of processor time. All assertions stay.

--- a/cmd/gateway/disconnect_matrix_test.go
+++ b/cmd/gateway/disconnect_matrix_test.go
@@ -154,6 +154,17 @@
 	waitEnded    func(r *testGateway, requests int) // returns when the attempts in flight have ended; nil: there are none
 }
 
+// waitToDisconnect waits until the clients must disconnect. The result is false if that time has passed: an attempt may
+// have ended before the disconnect, and its request may have been served.
+func (o *obstacle) waitToDisconnect() bool {
+	if o.disconnectAt == nil {
+		return true
+	}
+	left := time.Until(o.disconnectAt())
+	time.Sleep(left)
+	return left >= 0
+}
+
 // noReadyEngine keeps requests in the queue, because no engine is ready.
 func noReadyEngine(t *testing.T, posts *postLog) *obstacle {
 	t.Helper()
@@ -263,26 +274,22 @@
 	})
 }
 
-// unresponsiveEngine is an engine that answers no call. An attempt ends 2.1 s after the timeout of its last call.
+// unresponsiveEngine is an engine that answers no call. An attempt ends 2.1 s after the timeout of its last call. The
+// clients disconnect just before the first attempt ends.
 func unresponsiveEngine(t *testing.T, posts *postLog) *obstacle {
 	t.Helper()
-	var mu sync.Mutex
-	var last time.Time
+	calls := lastCalls{byQuery: map[string]time.Time{}}
 	o := attemptInFlight(t, posts, "POST", func(_ <-chan struct{}, _ string, _ http.ResponseWriter, q *http.Request) bool {
-		mu.Lock()
-		last = time.Now()
-		mu.Unlock()
+		calls.record(q)
 		<-q.Context().Done()
 		return true
 	})
 	o.disconnectAt = func() time.Time {
 		const callTimeout, queryExpiry = 350 * time.Millisecond, 2100 * time.Millisecond
 		for {
-			mu.Lock()
-			at := last
-			mu.Unlock()
-			if time.Since(at) > 2*callTimeout {
-				return at.Add(callTimeout + queryExpiry - disconnectBound - 30*time.Millisecond)
+			first, latest := calls.span()
+			if time.Since(latest) > 2*callTimeout {
+				return first.Add(callTimeout + queryExpiry - disconnectBound - 30*time.Millisecond)
 			}
 			time.Sleep(10 * time.Millisecond)
 		}
@@ -290,6 +297,38 @@
 	return o
 }
 
+// lastCalls holds the time of the last call for each query.
+type lastCalls struct {
+	mu      sync.Mutex
+	byQuery map[string]time.Time
+}
+
+// record records a call.
+func (l *lastCalls) record(q *http.Request) {
+	id := q.Header.Get("X-Txn")
+	if id == "" {
+		id = strings.Split(q.URL.Path, "/")[3]
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.byQuery[id] = time.Now()
+}
+
+// span returns the first and the latest of the times of the last calls.
+func (l *lastCalls) span() (first, latest time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, at := range l.byQuery {
+		if first.IsZero() || at.Before(first) {
+			first = at
+		}
+		if at.After(latest) {
+			latest = at
+		}
+	}
+	return first, latest
+}
+
 var obstacles = map[string]func(t *testing.T, posts *postLog) *obstacle{
 	"while queued":               noReadyEngine,
 	"during a connect":           pendingConnect,
@@ -358,8 +397,8 @@
 	observer := r.dial()
 	observer.ping()
 	o.waitBlocked(r, len(clients))
-	if o.disconnectAt != nil {
-		time.Sleep(time.Until(o.disconnectAt()))
+	if !o.waitToDisconnect() {
+		return false
 	}
 	resume := func() {}
 	if pauseAt != noPause {
