Leave what Consul sends in the kernel until it is read

Operators would see: a Consul that sends without an end fills the memory of the front end.

Cause: the same as with clients and engines: netpoll reads on whether or not the reader keeps up, and can't be paused.

Change: connections to Consul are opened by the standard library, whose reads take what they are asked for. The end of the context aborts a dial too.

--- a/cmd/gateway/server.go
+++ b/cmd/gateway/server.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"log/slog"
 	"os"
 	"os/signal"
@@ -13,8 +12,6 @@
 	"syscall"
 	"time"
 
-	"github.com/cloudwego/netpoll"
-
 	"beechcart/admission"
 	"beechcart/internal/admin"
 	"beechcart/internal/copycount"
@@ -98,9 +95,7 @@
 	counters := &invariant.Counters{}
 	output := newLogWriter(os.Stderr, counters)
 	defer output.flush()
-	if err := limitResources(config.platform, output); err != nil {
-		return err
-	}
+	limitResources(config.platform)
 	log := newLogger(output, config.operators.Log).With("node", config.platform.Name)
 	s, err := newServer(paths, config, counters, log)
 	if err != nil {
@@ -124,10 +119,9 @@
 }
 
 // limitResources sets GOMAXPROCS to the configured cores, and the memory limit of the Go runtime.
-func limitResources(config *platformconfig.Config, log io.Writer) error {
+func limitResources(config *platformconfig.Config) {
 	runtime.GOMAXPROCS(max(1, int(config.Cores)))
 	debug.SetMemoryLimit(runtimeMemoryLimit(config.MemoryMB))
-	return netpoll.Configure(netpoll.Config{PollerNum: 1, LoggerOutput: log})
 }
 
 // runtimeMemoryLimit returns the memory limit of the Go runtime in bytes. The runtime exceeds its limit for a moment
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -8,8 +8,6 @@
 	"io"
 	"net"
 	"time"
-
-	"github.com/cloudwego/netpoll"
 )
 
 const (
@@ -42,7 +40,8 @@
 // and the handshake. When ctx ends, the connection is closed, during the handshake or later.
 func Dial(ctx context.Context, address string, timeout time.Duration, secure Secure) (*Conn, error) {
 	deadline := time.Now().Add(timeout)
-	raw, err := netpoll.DialConnection("tcp", address, timeout)
+	dialer := net.Dialer{Timeout: timeout, KeepAlive: -1}
+	raw, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/http1/conn_test.go
+++ b/internal/http1/conn_test.go
@@ -122,3 +122,37 @@
 	require.Error(t, err)
 	assert.Less(t, time.Since(began), 5*time.Second)
 }
+
+// A body that is not read yet must stay in the kernel's buffers: a peer that sends without end must not fill the memory
+// of this process.
+func TestUnreadBodyTakesNoMemory(t *testing.T) {
+	const maxKernelBuffers = 32 << 20
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	accepted := make(chan int64, 1)
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = c.Close() }()
+		_, _ = c.Read(make([]byte, 4<<10))
+		written, _ := c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\n"))
+		sum := int64(written)
+		_ = c.SetWriteDeadline(time.Now().Add(300 * time.Millisecond))
+		for block := make([]byte, 256<<10); err == nil && sum < 1<<30; sum += int64(written) {
+			written, err = c.Write(block)
+		}
+		accepted <- sum
+	}()
+	c, err := Dial(context.Background(), l.Addr().String(), time.Second, nil)
+	require.NoError(t, err)
+	t.Cleanup(c.Close)
+	_, err = c.Do(Request{Method: "GET", Path: "/"}, time.Now().Add(10*time.Second), Limits{Head: 512},
+		func(_, _ []byte) error { return nil })
+	require.NoError(t, err)
+	sum := <-accepted
+	t.Logf("%d KB were accepted", sum>>10)
+	assert.Less(t, sum, int64(maxKernelBuffers))
+}
