Read a list that the change log writes slowly

Operators see: an event never arrives (a drain was unread after 10 s) where the change log writes its answers slowly, though bytes keep coming.

Cause: the same as with slowly written results: an answer had to be whole 150 ms after its first byte, was asked for again, and was cut off again.

Change: decision/watchtimeout bounds the transfer as it does dials and responses: no more time than before for a log that keeps up; after seven answers that were cut off, one may take up to 3 s, and twice its time is allowed from then on. A pause of 0.3 s ends it, so that a log that stops is asked again as soon as before.

--- a/cmd/gateway/changelog_test.go
+++ b/cmd/gateway/changelog_test.go
@@ -111,3 +111,33 @@
 	require.NoError(t, r.cmd.Process.Signal(syscall.SIGTERM))
 	require.NoError(t, <-r.exit)
 }
+
+// A list that the change log writes slowly must be read: cut off and asked for again each time, it would never arrive.
+func TestSlowlyWrittenListIsRead(t *testing.T) {
+	const pieces = 12
+	for _, pause := range []time.Duration{20 * time.Millisecond, 60 * time.Millisecond, 120 * time.Millisecond} {
+		t.Run(pause.String(), func(t *testing.T) {
+			t.Parallel()
+			e := newEngine(t, nil)
+			r := startPlatform(t, platformLimits{32, 256}, e)
+			published := r.publishWithReplacedPolls(func(w http.ResponseWriter, q *http.Request) {
+				r.mu.Lock()
+				list := fmt.Sprintf(`{"seq":%d,"results":[%s]}`, len(r.events), r.events[len(r.events)-1])
+				r.mu.Unlock()
+				w.Header().Set("Content-Length", fmt.Sprint(len(list)))
+				for i := range pieces {
+					_, _ = io.WriteString(w, list[len(list)*i/pieces:len(list)*(i+1)/pieces])
+					_ = http.NewResponseController(w).Flush()
+					time.Sleep(pause)
+				}
+			}, e.entry("draining", 0))
+			r.mu.Lock()
+			r.lastReplacedPoll += 1 << 20 // all further polls are answered slowly, too
+			r.mu.Unlock()
+			r.waitForState(e.name, "draining")
+			took := time.Since(published)
+			t.Log("read after", took)
+			assert.Less(t, took, 7*time.Second, "what the change log has to tell counts as told by then")
+		})
+	}
+}
--- a/decision/watchtimeout/timeouts.go
+++ b/decision/watchtimeout/timeouts.go
@@ -10,9 +10,9 @@
 //  1. PollWait, twice Response and Dial add up to no more than the grace; MaxDelay returns this sum. A poll whose
 //     connection stops responding right after the poll was sent times out after PollWait and Response. The next poll
 //     receives the events that the log has recorded in the meantime within Dial and Response.
-//  2. A log that responds more slowly than Response, or accepts connections more slowly than Dial, is followed
-//     nevertheless: one attempt in fullTimeoutEvery has the full timeout, and twice the duration of that attempt is
-//     allowed from then on.
+//  2. A log that responds more slowly than Response, accepts connections more slowly than Dial, or writes a response
+//     more slowly than Transfer, is followed nevertheless: one attempt in fullTimeoutEvery has the full timeout, and
+//     twice the duration of that attempt is allowed from then on.
 //  3. Each timeout is long enough for a machine under load (minPollWait, minResponse). A grace under 150 ms can
 //     therefore not be kept if a watch stops responding; MaxDelay returns the delay that can be kept.
 //
@@ -39,6 +39,7 @@
 	maxPollWait   = time.Second
 	minResponse   = 30 * time.Millisecond
 	maxResponse   = 500 * time.Millisecond
+	maxTransfer   = 3 * time.Second
 	minRetryDelay = 10 * time.Millisecond
 	maxRetryDelay = 100 * time.Millisecond
 )
@@ -58,6 +59,7 @@
 	retryDelay time.Duration
 	response   adaptiveTimeout
 	dial       adaptiveTimeout
+	transfer   adaptiveTimeout
 }
 
 // New returns the timeouts for a grace. A grace of 0 or less means the default, one second. The argument connect is the
@@ -73,6 +75,7 @@
 		retryDelay: share(grace, retryDelayPercent, minRetryDelay, maxRetryDelay),
 		response:   adaptiveTimeout{usual: response, full: maxResponse},
 		dial:       adaptiveTimeout{usual: min(dial, connect), full: connect},
+		transfer:   adaptiveTimeout{full: maxTransfer},
 	}
 }
 
@@ -90,6 +93,10 @@
 // Response returns how long the response may take in addition to PollWait.
 func (t *Timeouts) Response() time.Duration { return t.response.next() }
 
+// Transfer returns how long the rest of a response that has begun may take, also if Response is over. It is 0 unless
+// the log writes slowly.
+func (t *Timeouts) Transfer() time.Duration { return t.transfer.next() }
+
 // Dial returns the timeout for establishing the connection.
 func (t *Timeouts) Dial() time.Duration { return t.dial.next() }
 
@@ -106,6 +113,12 @@
 // ResponseTimedOut records that a response did not arrive in time.
 func (t *Timeouts) ResponseTimedOut() { t.response.failures++ }
 
+// TransferSucceeded records the time from the first byte of a response to its last one.
+func (t *Timeouts) TransferSucceeded(took time.Duration) { t.transfer.succeeded(took) }
+
+// TransferTimedOut records that a response began in time and did not arrive whole in time.
+func (t *Timeouts) TransferTimedOut() { t.transfer.failures++ }
+
 // DialSucceeded records how long it took to establish a connection.
 func (t *Timeouts) DialSucceeded(took time.Duration) { t.dial.succeeded(took) }
 
--- a/decision/watchtimeout/timeouts_test.go
+++ b/decision/watchtimeout/timeouts_test.go
@@ -51,6 +51,29 @@
 	}
 }
 
+// Checks invariant 2 for a log that writes its responses slowly, and that a fast log gets no more time than before.
+func TestSlowlyWritingLogIsFollowed(t *testing.T) {
+	timeouts := New(500*time.Millisecond, connect)
+	assert.Zero(t, timeouts.Transfer())
+	timeouts.TransferSucceeded(0)
+	assert.Zero(t, timeouts.Transfer())
+	const took = 1400 * time.Millisecond
+	failures := 0
+	for ; timeouts.Transfer() < took; failures++ {
+		timeouts.TransferTimedOut()
+	}
+	assert.Equal(t, fullTimeoutEvery-1, failures)
+	for range 20 {
+		timeouts.TransferSucceeded(took)
+		assert.GreaterOrEqual(t, timeouts.Transfer(), took)
+		assert.LessOrEqual(t, timeouts.Transfer(), maxTransfer)
+	}
+	for range 200 {
+		timeouts.TransferSucceeded(0)
+	}
+	assert.Less(t, timeouts.Transfer(), minResponse)
+}
+
 func TestTimeoutsShrinkOnceALogIsFast(t *testing.T) {
 	timeouts := New(500*time.Millisecond, connect)
 	usual := timeouts.Response()
--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -48,7 +48,8 @@
 // time that the engine may take to read the call.
 func (a *attempt) readResponse(transfer time.Duration, check func(response) error) (response, error) {
 	a.lastCallAt = time.Now()
-	r, err := a.conn.receiveTimed(a.responseTimer(transfer))
+	timer := a.responseTimer(transfer)
+	r, err := a.conn.receiveTimed(&timer)
 	if err != nil && isTimeout(err) && a.conn.stream.inputSize() > 0 {
 		a.responsePause = min(2*a.responsePause, maxResponsePause)
 	}
--- a/internal/engine/changelog.go
+++ b/internal/engine/changelog.go
@@ -77,14 +77,12 @@
 		return err
 	}
 	sent := time.Now()
-	r, err := conn.receive(sent.Add(wait + w.timeouts.Response()))
+	timer := responseTimer{deadline: sent.Add(wait + w.timeouts.Response()), transfer: w.timeouts.Transfer()}
+	r, err := conn.receiveTimed(&timer)
+	w.recordTimes(sent, timer.begunAt, err)
 	if err != nil {
-		if isTimeout(err) {
-			w.timeouts.ResponseTimedOut()
-		}
 		return err
 	}
-	w.timeouts.ResponseReceived(time.Since(sent))
 	if r.status != statusOK {
 		return fmt.Errorf("change log: found status %d, must be 200", r.status)
 	}
@@ -96,3 +94,22 @@
 	}
 	return nil
 }
+
+// recordTimes records how long a response took that began at the given time, or that it timed out. A zero time means
+// that the response has not begun or came in one piece.
+func (w *changeLogWatch) recordTimes(sent, begun time.Time, err error) {
+	now := time.Now()
+	switch {
+	case err != nil && isTimeout(err) && begun.IsZero():
+		w.timeouts.ResponseTimedOut()
+	case err != nil && isTimeout(err):
+		w.timeouts.TransferTimedOut()
+	case err != nil:
+	case begun.IsZero():
+		w.timeouts.ResponseReceived(now.Sub(sent))
+		w.timeouts.TransferSucceeded(0)
+	default:
+		w.timeouts.ResponseReceived(begun.Sub(sent))
+		w.timeouts.TransferSucceeded(now.Sub(begun))
+	}
+}
--- a/internal/engine/connection.go
+++ b/internal/engine/connection.go
@@ -99,11 +99,11 @@
 // called. Once a response has begun, the rest of the response must arrive within partialResponseTimeout: the peer may
 // stop in the middle of a response and keep the connection open.
 func (c *connection) receive(deadline time.Time) (response, error) {
-	return c.receiveTimed(responseTimer{deadline: deadline})
+	return c.receiveTimed(&responseTimer{deadline: deadline})
 }
 
 // receiveTimed is receive with the time limits of timer.
-func (c *connection) receiveTimed(timer responseTimer) (response, error) {
+func (c *connection) receiveTimed(timer *responseTimer) (response, error) {
 	for parsed := 0; ; parsed = c.stream.inputSize() {
 		if !time.Now().Before(timer.deadline) {
 			return response{}, os.ErrDeadlineExceeded
--- a/internal/engine/response_timer.go
+++ b/internal/engine/response_timer.go
@@ -5,6 +5,8 @@
 const (
 	// partialResponseTimeout is how long a response that has begun may pause.
 	partialResponseTimeout = 150 * time.Millisecond
+	// maxTransferPause is how long a response whose transfer is extended may pause.
+	maxTransferPause = 2 * partialResponseTimeout
 	// maxResponsePause bounds the pause after it has been doubled.
 	maxResponsePause = 600 * time.Millisecond
 	// slowResponseGrace and minResponseRate bound the time of a whole response: a response that has begun may take
@@ -21,6 +23,7 @@
 	end       time.Time       // of the whole response; zero: partialResponseTimeout after the first byte
 	cancelled <-chan struct{} // once closed, the rest must arrive within partialResponseTimeout; nil: never closed
 	begunAt   time.Time       // zero: no byte has arrived
+	transfer  time.Duration   // without an end: how long the rest of the response may take at least
 }
 
 // received notes that the response has n bytes now and is incomplete.
@@ -40,6 +43,7 @@
 		if end := now.Add(partialResponseTimeout); begun && end.Before(t.deadline) {
 			t.deadline = end
 		}
+		t.extendTo(t.begunAt.Add(t.transfer), now.Add(maxTransferPause))
 		return
 	}
 	t.deadline = now.Add(t.pause)
@@ -50,3 +54,13 @@
 		}
 	}
 }
+
+// extendTo extends the deadline to the earlier one of two times.
+func (t *responseTimer) extendTo(a, b time.Time) {
+	if b.Before(a) {
+		a = b
+	}
+	if a.After(t.deadline) {
+		t.deadline = a
+	}
+}
--- a/internal/engine/response_timer_test.go
+++ b/internal/engine/response_timer_test.go
@@ -54,3 +54,26 @@
 		})
 	}
 }
+
+// A response of a change log that writes slowly may take as long as its transfer, and stop for maxTransferPause.
+func TestTransferExtendsTheDeadline(t *testing.T) {
+	const accuracy = 50 * time.Millisecond
+	for name, c := range map[string]struct {
+		transfer, begunAgo time.Duration
+		want               time.Duration // from now
+	}{
+		"fast log":        {want: 75 * time.Millisecond},
+		"slow log":        {transfer: 3 * time.Second, begunAgo: time.Second, want: maxTransferPause},
+		"end of transfer": {transfer: 3 * time.Second, begunAgo: 2900 * time.Millisecond, want: 100 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Now()
+			timer := responseTimer{deadline: now.Add(75 * time.Millisecond), transfer: c.transfer}
+			if c.begunAgo > 0 {
+				timer.begunAt = now.Add(-c.begunAgo)
+			}
+			timer.received(100)
+			assert.WithinDuration(t, now.Add(c.want), timer.deadline, accuracy)
+		})
+	}
+}
