--- a/cmd/gateway/changelog_test.go
+++ b/cmd/gateway/changelog_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -124,7 +125,7 @@
 				r.mu.Lock()
 				list := fmt.Sprintf(`{"seq":%d,"results":[%s]}`, len(r.events), r.events[len(r.events)-1])
 				r.mu.Unlock()
-				w.Header().Set("Content-Length", fmt.Sprint(len(list)))
+				w.Header().Set("Content-Length", strconv.Itoa(len(list)))
 				for i := range pieces {
 					_, _ = io.WriteString(w, list[len(list)*i/pieces:len(list)*(i+1)/pieces])
 					_ = http.NewResponseController(w).Flush()
