Wait until stopped control replicas no longer run, in the test of their loss

Cause, suspected then and seen now: when kill returns, a thread may still run or wait for its disk, and stops only afterwards. Beside 12 busy processes and five copies of the test, not all threads of a process were stopped at once in 5 of 12 cases (read from /proc/PID/task/*/stat).

The test waits until all threads are stopped. Every assertion stays.

--- a/internal/faulttest/rollout_test.go
+++ b/internal/faulttest/rollout_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"os"
@@ -102,6 +103,37 @@
 	assert.Greater(t, served, len(requests)*95/100, "of %d requests", len(requests))
 }
 
+// stopMembers stops the processes of members, and waits until no thread of them runs: a signal takes effect only when a
+// thread is about to run again, and a thread that waits for its disk may still agree to a command before that.
+func stopMembers(t *testing.T, members ...*cluster.Member) {
+	t.Helper()
+	for _, m := range members {
+		require.True(t, m.Signal(syscall.SIGSTOP))
+	}
+	for _, m := range members {
+		require.Eventually(t, func() bool { return allThreadsStopped(m.Pid()) }, 10*time.Second, time.Millisecond)
+	}
+}
+
+// allThreadsStopped reports whether all threads of a process are in the state T, stopped by a signal.
+func allThreadsStopped(pid int) bool {
+	paths, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", pid))
+	if err != nil || len(paths) == 0 {
+		return false
+	}
+	for _, path := range paths {
+		stat, err := os.ReadFile(path)
+		if err != nil {
+			return false
+		}
+		_, state, _ := strings.Cut(string(stat), ") ")
+		if !strings.HasPrefix(state, "T ") {
+			return false
+		}
+	}
+	return true
+}
+
 // Two of three control replicas are stopped. All front ends must continue to serve, none may shut down, and the agreed
 // state must be available again within 5 s of the replicas' return. Then two replicas lose their disks in turn.
 func TestLossOfControlReplicas(t *testing.T) {
@@ -109,8 +141,7 @@
 
 	n0, n1 := run.cluster.Members[0], run.cluster.Members[1]
 	require.True(t, n0.ControlReplica && n1.ControlReplica)
-	n0.Signal(syscall.SIGSTOP)
-	n1.Signal(syscall.SIGSTOP)
+	stopMembers(t, n0, n1)
 	_, err := run.cluster.Client.Apply(rollout.Command{ID: "lost", RequestedBy: "a test",
 		StartRelease: &rollout.StartRelease{Revision: "r2", Waves: []float64{1}}})
 	require.Error(t, err, "no command is agreed on without a quorum")
