Let the kernel choose the local port of a connection to an engine as it connects

Seen: "dial tcp :0->127.0.0.1:45464: bind: address already in use", engines ejected, and every ordinary request refused (0 of 36 served in a case of TestFloodOfOneClientHarmsNoOther) after other tests had left thousands of connections in TIME_WAIT.

Cause: dialled with an empty local address, for which the library binds port 0 first: such a port may not be shared with other connections, so some 28,000 of them a minute use all up. connect alone shares ports among destinations.

Change: dial without a local address. Parsing the IP address needs no name lookup.

--- a/internal/engine/sockets.go
+++ b/internal/engine/sockets.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net"
-	"net/netip"
 	"sync"
 	"syscall"
 	"time"
@@ -96,20 +95,13 @@
 // dialer opens connections without a keep-alive: every call has a time limit.
 var dialer = net.Dialer{KeepAlive: -1}
 
-// connect opens a TCP connection. The address of an engine is an IP address; parsing the address here avoids a name
-// lookup, which would cost more than the connect.
+// connect opens a TCP connection.
 func connect(
 	ctx context.Context, address string, timeout time.Duration, input *membudget.Budget,
 ) (*stream, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	var conn net.Conn
-	parsed, err := netip.ParseAddrPort(address)
-	if err == nil {
-		conn, err = dialer.DialTCP(ctx, "tcp", netip.AddrPort{}, parsed)
-	} else {
-		conn, err = dialer.DialContext(ctx, "tcp", address)
-	}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
