Do not blame engines for a lack of local ports or memory

Seen: "engine 34697 ejected" and refusals of ordinary requests when connects failed with EADDRINUSE, for lack of local ports of this host (44 to 76 ended_connect_failed in cases of TestCrowdStaysWithinMemory).

Cause: only EMFILE and ENFILE counted as a lack of this process; EADDRNOTAVAIL, EADDRINUSE, ENOBUFS, ENOMEM and EAGAIN, which Linux documents for connect too, counted as a failed connection, which ejects an engine.

Change: they are no evidence on the engine, after the same four tries (no_socket).

Measured: TestOwnShortageIsNoFaultOfTheEngine (new) names each error; tests of internal/engine pass.

--- a/internal/engine/sockets.go
+++ b/internal/engine/sockets.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -27,9 +28,15 @@
 	changeLogReceiveBuffer = 64 << 10
 )
 
-// errNoSocket reports that the socket limit or the file descriptor limit is reached.
+// errNoSocket reports that the socket limit is reached, or that the kernel has no resources for a socket.
 var errNoSocket = errors.New("engine: no socket available")
 
+// ownShortages are the errors of a connect that show a lack of resources of this host: descriptors, local ports, memory.
+var ownShortages = []error{
+	syscall.EMFILE, syscall.ENFILE, syscall.EADDRINUSE, syscall.EADDRNOTAVAIL, syscall.EAGAIN, syscall.ENOBUFS,
+	syscall.ENOMEM,
+}
+
 // socketUse is the purpose of a socket.
 type socketUse int
 
@@ -70,7 +77,7 @@
 
 // dial opens a connection. The timeout applies to each try, and the end of ctx aborts the dial. A reset during the
 // connect is no evidence about the remote process, and nothing has been sent, so dial tries again at once. dial returns
-// errNoSocket if this process has no file descriptor left, which is no evidence about the engine either.
+// errNoSocket if this host lacks the resources for a socket, which is no evidence about the engine either.
 func (s *sockets) dial(
 	ctx context.Context, address string, timeout time.Duration, use socketUse,
 ) (*connection, error) {
@@ -82,11 +89,11 @@
 		if err == nil {
 			return &connection{stream: input, sockets: s, writeTimeout: writeTimeout}, nil
 		}
-		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
-			err, dials = errNoSocket, maxDials
-		}
-		if isTimeout(err) || isRefused(err) || ctx.Err() != nil || dials == maxDials {
+		if isTimeout(err) || isRefused(err) || isOutOfDescriptors(err) || ctx.Err() != nil || dials == maxDials {
 			s.release()
+			if isOwnShortage(err) {
+				err = errNoSocket
+			}
 			return nil, err
 		}
 	}
@@ -115,3 +122,13 @@
 
 // isRefused reports an error that proves that no process listens at an address.
 func isRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
+// isOutOfDescriptors reports an error that another try at once does not mend.
+func isOutOfDescriptors(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE)
+}
+
+// isOwnShortage reports an error that is due to this host, not to the engine.
+func isOwnShortage(err error) bool {
+	return slices.ContainsFunc(ownShortages, func(shortage error) bool { return errors.Is(err, shortage) })
+}
--- a/internal/engine/sockets_test.go
+++ b/internal/engine/sockets_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net"
+	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -23,3 +25,17 @@
 	require.ErrorAs(t, err, &failed)
 	assert.Nil(t, failed.Source, "the local address that was asked for")
 }
+
+// A connect that fails for lack of local ports, descriptors or memory must not count against the engine, which would be
+// ejected.
+func TestOwnShortageIsNoFaultOfTheEngine(t *testing.T) {
+	for errno, own := range map[syscall.Errno]bool{
+		syscall.EMFILE: true, syscall.ENFILE: true, syscall.EADDRINUSE: true, syscall.EADDRNOTAVAIL: true,
+		syscall.ENOBUFS: true, syscall.ENOMEM: true, syscall.EAGAIN: true,
+		syscall.ECONNREFUSED: false, syscall.ETIMEDOUT: false, syscall.ENETUNREACH: false, syscall.EHOSTUNREACH: false,
+		syscall.ECONNRESET: false,
+	} {
+		err := &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("connect", errno)}
+		assert.Equal(t, own, isOwnShortage(err), errno.Error())
+	}
+}
