--- a/cmd/gateway/crowd_test.go
+++ b/cmd/gateway/crowd_test.go
@@ -182,6 +182,11 @@
 		return
 	}
 	c.begun.Add(1)
+	receiveSlowly(conn)
+}
+
+// receiveSlowly reads 10 KB a second until the connection ends.
+func receiveSlowly(conn net.Conn) {
 	for buf := make([]byte, 1<<10); ; time.Sleep(100 * time.Millisecond) {
 		if _, err := conn.Read(buf); err != nil {
 			return
@@ -189,6 +194,16 @@
 	}
 }
 
+// leaveEarly sends a request and leaves before it can be answered. It resets its connection: the ports of connections
+// that are closed in order would stay in use for a minute, and other tests would find none.
+func leaveEarly(c *crowd, conn net.Conn) {
+	_ = conn.(*net.TCPConn).SetLinger(0)
+	if _, err := io.WriteString(conn, packet(0, paddedStatement("lookup", 30<<10))); err == nil {
+		c.begun.Add(1)
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
 // sendUnread sends small commands without end and reads no answer.
 func sendUnread(c *crowd, conn net.Conn) {
 	for {
@@ -303,6 +318,7 @@
 		for name, converse := range map[string]func(*crowd, net.Conn){
 			"stops half way": stopHalfWay, "writes slowly": writeSlowly, "many fields": sendManyFields,
 			"large requests": sendLargeRequests, "reads slowly": readSlowly, "reads nothing": sendUnread,
+			"leaves": leaveEarly,
 		} {
 			t.Run(fmt.Sprintf("%d MB, %d descriptors, %s", limits.memoryMB, limits.descriptors, name), func(t *testing.T) {
 				testCrowd(t, limits, converse)
@@ -313,7 +329,6 @@
 
 func testCrowd(t *testing.T, limits platformLimits, converse func(*crowd, net.Conn)) {
 	t.Helper()
-	const ordinaryClients = 8
 	engines := make([]*engine, 4)
 	for i := range engines {
 		engines[i] = newEngine(t, func(call string, _ http.ResponseWriter, _ *http.Request) bool {
@@ -324,26 +339,49 @@
 		})
 		engines[i].pages = resultPages(8)
 	}
-	r := startPlatform(t, limits, engines...)
+	run := crowdRun{clients: limits.descriptors/3 - crowdCompany, period: crowdPeriod, converse: converse}
+	run.assertMostServed(t, startPlatform(t, limits, engines...))
+}
+
+// crowdCompany is the number of ordinary clients beside a crowd.
+const crowdCompany = 8
+
+// crowdRun is a crowd beside which ordinary clients send lookups.
+type crowdRun struct {
+	clients  int
+	period   time.Duration
+	converse func(*crowd, net.Conn)
+}
+
+// start runs the crowd and the ordinary clients for the period. It asserts that the process stays within its memory and
+// answers each ordinary request in time, and returns the numbers of ordinary requests and of those that were served.
+func (run crowdRun) start(t *testing.T, r *testGateway) (requests, answered int) {
+	t.Helper()
 	c := &crowd{r: r, stop: make(chan struct{})}
-	s := serveOrdinary(t, r, ordinaryClients, c.stop, func() string { return statement("lookup", 2500) })
-	c.join(limits.descriptors/3-ordinaryClients, converse)
-	time.Sleep(crowdPeriod)
+	s := serveOrdinary(t, r, crowdCompany, c.stop, func() string { return statement("lookup", 2500) })
+	c.join(run.clients, run.converse)
+	time.Sleep(run.period)
 	close(c.stop)
 	c.running.Wait()
 	peak := float64(r.peakMemoryKB()) / 1024
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	t.Logf("peak %.1f of %d MB; crowd: %d; ordinary: %d requests, %d served, longest %v",
-		peak, limits.memoryMB, c.begun.Load(), s.requests, s.answered, s.longest)
 	stats, err := r.stats.Stats()
 	require.NoError(t, err)
-	t.Logf("counters: %v", stats.Counters)
+	t.Logf("peak %.1f of %d MB; crowd: %d; ordinary: %d requests, %d served, longest %v; counters %v",
+		peak, r.memoryMB, c.begun.Load(), s.requests, s.answered, s.longest, stats.Counters)
 	require.Positive(t, c.begun.Load())
-	assert.Less(t, peak, float64(limits.memoryMB))
+	require.Positive(t, s.requests)
+	assert.Less(t, peak, float64(r.memoryMB))
 	assert.Empty(t, s.lost)
-	assert.Positive(t, s.requests)
-	assert.GreaterOrEqual(t, float64(s.answered), 0.9*float64(s.requests))
+	return s.requests, s.answered
+}
+
+// assertMostServed is start, and asserts that nine in ten ordinary requests are served.
+func (run crowdRun) assertMostServed(t *testing.T, r *testGateway) {
+	t.Helper()
+	requests, answered := run.start(t, r)
+	assert.GreaterOrEqual(t, float64(answered), 0.9*float64(requests))
 }
 
 // resultPages returns n pages of the largest size that the protocol allows.
@@ -361,7 +399,7 @@
 // The process must stay within its memory, and serve ordinary clients, while many clients hardly read their results,
 // which are larger than the kernel's buffers.
 func TestUnreadResultsStayWithinMemory(t *testing.T) {
-	const ordinaryClients, crowdClients, longResultPages, engineCount = 8, 100, 150, 4
+	const crowdClients, longResultPages, engineCount = 100, 150, 4
 	var long sync.Map // IDs of the requests for long results
 	pages := resultPages(longResultPages)
 	handle := func(call string, w http.ResponseWriter, q *http.Request) bool {
@@ -390,34 +428,17 @@
 	limits := platformLimits{memoryMB: 32, descriptors: 1024}
 	r := startPlatformWith(t, limits, strings.ReplaceAll(defaultPlatformSettings, `"holds_tables":[false,true]`,
 		`"holds_tables":[false,false]`), engines...)
-	c := &crowd{r: r, stop: make(chan struct{})}
-	s := serveOrdinary(t, r, ordinaryClients, c.stop, func() string { return statement("lookup", 2500) })
-	c.join(crowdClients, func(c *crowd, conn net.Conn) {
-		_ = conn.(*net.TCPConn).SetReadBuffer(4 << 10)
-		for range 10 {
-			if _, err := io.WriteString(conn, packet(0, statement("load", 20000))); err != nil {
-				return
-			}
-			c.begun.Add(1)
-		}
-		for buf := make([]byte, 1<<10); ; time.Sleep(100 * time.Millisecond) {
-			if _, err := conn.Read(buf); err != nil {
-				return
-			}
+	crowdRun{clients: crowdClients, period: 2 * crowdPeriod, converse: askForLongResults}.assertMostServed(t, r)
+}
+
+// askForLongResults sends loads, whose results are long, and hardly reads their answers.
+func askForLongResults(c *crowd, conn net.Conn) {
+	_ = conn.(*net.TCPConn).SetReadBuffer(4 << 10)
+	for range 10 {
+		if _, err := io.WriteString(conn, packet(0, statement("load", 20000))); err != nil {
+			return
 		}
-	})
-	time.Sleep(2 * crowdPeriod)
-	close(c.stop)
-	c.running.Wait()
-	peak := float64(r.peakMemoryKB()) / 1024
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	stats, err := r.stats.Stats()
-	require.NoError(t, err)
-	t.Logf("peak %.1f of %d MB; crowd: %d; ordinary: %d requests, %d served, longest %v; counters %v",
-		peak, limits.memoryMB, c.begun.Load(), s.requests, s.answered, s.longest, stats.Counters)
-	assert.Less(t, peak, float64(limits.memoryMB))
-	assert.Empty(t, s.lost)
-	assert.Positive(t, s.requests)
-	assert.GreaterOrEqual(t, float64(s.answered), 0.9*float64(s.requests))
+		c.begun.Add(1)
+	}
+	receiveSlowly(conn)
 }
--- a/cmd/gateway/endless_response_test.go
+++ b/cmd/gateway/endless_response_test.go
@@ -8,10 +8,6 @@
 	"net"
 	"net/http"
 	"testing"
-	"time"
-
-	"github.com/stretchr/testify/assert"
-	"github.com/stretchr/testify/require"
 )
 
 // endlessResponses are the beginnings of responses that never end.
@@ -37,8 +33,7 @@
 
 func testEndlessResponses(t *testing.T, limits platformLimits, every int) {
 	t.Helper()
-	const ordinaryClients, engineCount = 8, 4
-	engines := make([]*engine, engineCount)
+	engines := make([]*engine, 4)
 	for i := range engines {
 		engines[i] = newEngine(t, func(call string, w http.ResponseWriter, _ *http.Request) bool {
 			if call != "DELETE" && rand.IntN(every) == 0 {
@@ -49,22 +44,8 @@
 		})
 		engines[i].pages = resultPages(2)
 	}
-	r := startPlatform(t, limits, engines...)
-	c := &crowd{r: r, stop: make(chan struct{})}
-	s := serveOrdinary(t, r, ordinaryClients, c.stop, func() string { return statement("lookup", 2500) })
-	c.join(limits.descriptors/3-ordinaryClients, askAgain)
-	time.Sleep(crowdPeriod)
-	close(c.stop)
-	c.running.Wait()
-	peak := float64(r.peakMemoryKB()) / 1024
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	t.Logf("peak %.1f of %d MB; crowd: %d; ordinary: %d requests, %d served, longest %v",
-		peak, limits.memoryMB, c.begun.Load(), s.requests, s.answered, s.longest)
-	require.Positive(t, c.begun.Load())
-	require.Positive(t, s.requests)
-	assert.Less(t, peak, float64(limits.memoryMB))
-	assert.Empty(t, s.lost)
+	run := crowdRun{clients: limits.descriptors/3 - crowdCompany, period: crowdPeriod, converse: askAgain}
+	run.start(t, startPlatform(t, limits, engines...))
 }
 
 // askAgain sends small requests, each as soon as the one before is answered.
