--- a/internal/engine/sockets.go
+++ b/internal/engine/sockets.go
@@ -31,7 +31,7 @@
 // errNoSocket reports that the socket limit is reached, or that the kernel has no resources for a socket.
 var errNoSocket = errors.New("engine: no socket available")
 
-// ownShortages are the errors of a connect that show a lack of resources of this host: descriptors, local ports, memory.
+// ownShortages are the errors of a connect that show a lack of resources of this host, such as local ports.
 var ownShortages = []error{
 	syscall.EMFILE, syscall.ENFILE, syscall.EADDRINUSE, syscall.EADDRNOTAVAIL, syscall.EAGAIN, syscall.ENOBUFS,
 	syscall.ENOMEM,
