--- a/review/testdata/standin2/cases.go
+++ b/review/testdata/standin2/cases.go
@@ -44,7 +44,7 @@
 	})
 	time.Sleep(5 * time.Second)
 	if s.trouble {
-		s.signal(s.engines[0], syscall.SIGSTOP)
+		s.signalEngine(s.engines[0], syscall.SIGSTOP)
 	}
 	var loads sync.WaitGroup
 	for range 15 {
@@ -54,7 +54,7 @@
 	}
 	time.Sleep(7750 * time.Millisecond)
 	if s.trouble {
-		s.signal(s.engines[0], syscall.SIGCONT)
+		s.signalEngine(s.engines[0], syscall.SIGCONT)
 	}
 	time.Sleep(5 * time.Second)
 	close(stop)
@@ -121,7 +121,7 @@
 	waitLookups := s.stream(10, stop, func() { s.ask("lookup", "SELECT a, sleep_20 FROM sales_17.orders", 2500) })
 	time.Sleep(2 * time.Second)
 	if s.trouble {
-		s.signal(s.engines[0], syscall.SIGSTOP)
+		s.signalEngine(s.engines[0], syscall.SIGSTOP)
 	}
 	var reports sync.WaitGroup
 	for range 6 {
@@ -129,7 +129,7 @@
 	}
 	time.Sleep(6 * time.Second)
 	if s.trouble {
-		s.signal(s.engines[0], syscall.SIGCONT)
+		s.signalEngine(s.engines[0], syscall.SIGCONT)
 	}
 	time.Sleep(6 * time.Second)
 	close(stop)
--- a/review/testdata/standin2/scene.go
+++ b/review/testdata/standin2/scene.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -74,6 +75,14 @@
 		s.endProcesses()
 		time.AfterFunc(5*time.Second, func() { os.Exit(exitNotRun) })
 	})
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() { // ends with the process
+		<-signals
+		s.endProcesses()
+		_ = os.RemoveAll(s.temp)
+		os.Exit(exitNotRun)
+	}()
 	s.note("disruption: %v", s.trouble)
 	return s, nil
 }
@@ -173,10 +182,10 @@
 	return fmt.Errorf("nothing listens at %s", address)
 }
 
-// signal sends a signal to an engine's process.
-func (s *scene) signal(e *engineProcess, signal syscall.Signal) {
-	_ = e.cmd.Process.Signal(signal)
-	s.note("signal %v to engine %s", signal, e.name)
+// signalEngine sends a signal to an engine's process.
+func (s *scene) signalEngine(e *engineProcess, sig syscall.Signal) {
+	_ = e.cmd.Process.Signal(sig)
+	s.note("signal %v to engine %s", sig, e.name)
 }
 
 // events returns what the engines have recorded, and logs it.
